--- /dev/null
+++ b/lavenderstile/hashing.py
@@ -0,0 +1,26 @@
+"""Rendezvous hashing: assigns an item to hosts without any coordination."""
+
+import xxhash
+
+
+def score(item, member):
+    """Return the weight of `member` for `item`."""
+    return xxhash.xxh3_64_intdigest(f'{item}\0{member}'.encode())
+
+
+def rank(item, members):
+    """Return `members` ordered by preference for `item`.
+
+    The order depends only on the item and the members, so that all hosts
+    with the same view agree, and losing one member moves only its items.
+    """
+    return sorted(members, key=lambda member: (-score(item, member), member))
+
+
+def top(item, members):
+    """Return the preferred member for `item`, or None without members."""
+    return min(
+        members,
+        key=lambda member: (-score(item, member), member),
+        default=None,
+    )
--- /dev/null
+++ b/lavenderstile/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated gRPC messages and stubs."""
--- /dev/null
+++ b/tests/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plugins for the test runner."""
