Add membership, exchanges, the entry path and the daemon

Each host starts one exchange a second with each peer: heartbeat, digest of the configuration, borrowed rights, running grants and service summaries in one call. Only a completed exchange that a host started itself puts a peer in its view, since hearing a peer does not prove that it can be asked.

A request takes its token after its slot, just before the send, so that the time in the queue does not shift tokens into a later window; what may change meanwhile (key, target, failure domain, deadline) is checked again there.

--- /dev/null
+++ b/lavenderstile/claim_client.py
@@ -0,0 +1,130 @@
+"""Claims idempotency keys at their homes on behalf of requests."""
+
+import asyncio
+import contextlib
+
+from . import claims
+from . import errors
+from . import messages
+from . import verdicts
+from . import wire
+
+IDEMPOTENCY_HEADER = b'idempotency-key'
+
+
+class HeldClaim:
+    """A claim of a request; knows whether the request may have run."""
+
+    __slots__ = ('may_have_run', 'status')
+
+    def __init__(self):
+        self.may_have_run = False
+        self.status = None
+
+
+class ClaimClient:
+    """Claims and ends keys at the homes that the fleet list names."""
+
+    def __init__(self, host, owner, configuration):
+        self._host = host
+        self._owner = owner
+        self._configuration = configuration
+
+    @contextlib.asynccontextmanager
+    async def hold(self, request, admission, digest):
+        """Hold the claim of a request's key, if it has to have one."""
+        claim = self._make_claim(request, admission, digest)
+        held = HeldClaim()
+        if claim is None:
+            yield held
+            return
+        homes = claims.find_homes(
+            claim.workspace, claim.key, self._configuration.fleet.addresses
+        )
+        try:
+            await self._acquire(claim, homes)
+            request.record.note('the idempotency key was claimed')
+            yield held
+        finally:
+            self._host.spawn(self._end(claim, homes, held))
+
+    def _make_claim(self, request, admission, digest):
+        if admission.idempotent:
+            return None
+        text = request.header(IDEMPOTENCY_HEADER)
+        if text is None:
+            if admission.route.idempotency_key == 'required':
+                raise errors.RefusedError(
+                    verdicts.Refusal(
+                        verdicts.Reason.IDEMPOTENCY_KEY_REQUIRED,
+                        'send an Idempotency-Key: a UUID of version 7',
+                    )
+                )
+            return None
+        created = claims.parse_key(
+            text,
+            self._host.clock.unix(),
+            self._configuration.fleet.claim_window_s,
+        )
+        return messages.ClaimRequest(
+            admission.workspace,
+            text,
+            request.request_id,
+            digest,
+            created,
+            self._configuration.fleet_version,
+        )
+
+    async def _acquire(self, claim, homes):
+        quorum = claims.ClaimQuorum(claim, homes)
+        calls = {
+            asyncio.ensure_future(self._ask(home, claim)) for home in homes
+        }
+        try:
+            while calls and quorum.decision is None:
+                done, calls = await asyncio.wait(
+                    calls, return_when=asyncio.FIRST_COMPLETED
+                )
+                for call in done:
+                    quorum.record(*call.result())
+        finally:
+            for call in calls:
+                call.cancel()
+        match quorum.decision:
+            case verdicts.Refusal() as refusal:
+                raise errors.RefusedError(refusal)
+
+    async def _ask(self, home, claim):
+        """Return (home, answer or None)."""
+        if home == self._host.address:
+            return home, await self._owner.claim(claim)
+        try:
+            reply = await self._host.call_peer(
+                home, 'Claim', wire.pack_claim(claim)
+            )
+        except errors.PeerError:
+            return home, None
+        return home, wire.unpack_claim_answer(reply)
+
+    async def _end(self, claim, homes, held):
+        end = messages.ClaimEnd(
+            claim.workspace,
+            claim.key,
+            claim.attempt_id,
+            held.may_have_run,
+            held.status,
+        )
+        for home in homes:
+            if home == self._host.address:
+                self._owner.post_claim_end(end)
+            else:
+                self._host.spawn(self._send_end(home, end))
+
+    async def _send_end(self, home, end):
+        try:
+            await self._host.call_peer(
+                home, 'EndClaim', wire.pack_claim_end(end)
+            )
+        except errors.PeerError:
+            # The home keeps the claim, so a re-sent request is refused.
+            self._host.metrics.exchanges.inc({'result': 'claim_end_lost'})
--- /dev/null
+++ b/lavenderstile/dispatch.py
@@ -0,0 +1,261 @@
+"""Brings an admitted request to a target, with retries."""
+
+import asyncio
+import dataclasses
+
+import xxhash
+
+from . import errors
+from . import gate
+from . import messages
+from . import retries
+from . import verdicts
+
+# A grant older than this was held by a paused process; it is given back.
+MAX_GRANT_AGE_S = 1.0
+RETRY_DELAY_S = 0.1
+
+REASON_BY_OUTCOME = {
+    messages.Outcome.CONNECT_FAILED: verdicts.Reason.TARGET_UNREACHABLE,
+    messages.Outcome.NOT_SENT: verdicts.Reason.DEADLINE_EXCEEDED,
+    messages.Outcome.SHED: verdicts.Reason.TARGET_SHED,
+    messages.Outcome.TIMEOUT: verdicts.Reason.TARGET_TIMEOUT,
+    messages.Outcome.SILENT_CONNECTION: verdicts.Reason.TARGET_TIMEOUT,
+}
+
+
+def digest_request(request, workspace):
+    """Return the digest by which a re-sent request is recognised."""
+    digest = xxhash.xxh3_128()
+    for part in (workspace.encode(), request.method.encode()):
+        digest.update(part + b'\0')
+    digest.update(request.raw_target + b'\0')
+    digest.update(request.body.head)
+    return digest.hexdigest()
+
+
+def make_refusal(error):
+    """Return the refusal that tells a caller of a target's failure."""
+    reason = REASON_BY_OUTCOME.get(
+        error.outcome, verdicts.Reason.TARGET_BROKEN
+    )
+    retry_after_s = 1.0 if reason is verdicts.Reason.TARGET_SHED else None
+    return verdicts.Refusal(reason, str(error), error.verdict, retry_after_s)
+
+
+class Attempts:
+    """The attempts of one request and what they have left behind."""
+
+    __slots__ = (
+        '_excluded_domains',
+        '_excluded_targets',
+        '_held',
+        '_may_have_run',
+        'admission',
+        'digest',
+        'needs_token',
+        'number',
+        'request',
+    )
+
+    def __init__(self, request, admission, digest, held):
+        self.request = request
+        self.admission = admission
+        self.digest = digest
+        self.number = 1
+        self.needs_token = bool(admission.workspace)
+        self._held = held
+        self._may_have_run = False
+        self._excluded_targets = []
+        self._excluded_domains = []
+
+    def make_admit_request(self, host):
+        """Return the request for a slot for the present attempt."""
+        return messages.AdmitRequest(
+            request_id=self.attempt_id,
+            host=host.address,
+            service=self.admission.service.name,
+            workspace=self.admission.workspace,
+            deadline=self.request.deadline,
+            digest=self.digest,
+            idempotent=self.admission.idempotent,
+            attempt=self.number,
+            excluded_targets=tuple(self._excluded_targets),
+            excluded_domains=tuple(self._excluded_domains),
+        )
+
+    @property
+    def attempt_id(self):
+        """Id that the target sees and has to echo."""
+        return f'{self.request.request_id}.{self.number}'
+
+    def note(self, sentence):
+        """Add a sentence to the request's record."""
+        self.request.record.note(sentence)
+
+    def start_send(self):
+        """Assume from now on that the request may run."""
+        self._held.may_have_run = True
+
+    def finish(self, response):
+        """Record the target's answer."""
+        self._held.status = response.status
+
+    def fail(self, error, grant):
+        """Record a failed attempt and avoid its target from now on."""
+        self.note(f'{grant.unit.target}: {error}')
+        if error.verdict is verdicts.Verdict.NOT_RUN:
+            self._held.may_have_run = self._may_have_run
+        else:
+            self._may_have_run = True
+        self._excluded_targets.append(grant.unit.target)
+        self._excluded_domains.append(grant.domain)
+        self.number += 1
+
+    def correct(self, refusal):
+        """Return a refusal that is true of all attempts together."""
+        if not self._may_have_run:
+            return refusal
+        if refusal.verdict is not verdicts.Verdict.NOT_RUN:
+            return refusal
+        return dataclasses.replace(
+            refusal, verdict=verdicts.Verdict.MAY_HAVE_RUN
+        )
+
+
+class Dispatcher:
+    """Finds a slot and a token for a request and sends it."""
+
+    def __init__(self, host, checks, slots, tokens, claim_client, forwarder):
+        self._host = host
+        self._gate = checks
+        self._slots = slots
+        self._tokens = tokens
+        self._claims = claim_client
+        self._forwarder = forwarder
+
+    async def run(self, request, admission, answer):
+        """Send the request until it is answered; raise its refusal."""
+        await request.body.prefetch()
+        digest = digest_request(request, admission.workspace)
+        async with self._claims.hold(request, admission, digest) as held:
+            attempts = Attempts(request, admission, digest, held)
+            try:
+                await self._run_attempts(attempts, answer)
+            except errors.RefusedError as error:
+                refusal = attempts.correct(error.refusal)
+                raise errors.RefusedError(refusal) from error
+
+    async def _run_attempts(self, attempts, answer):
+        while True:
+            grant = await self._acquire(attempts)
+            try:
+                await self._send(attempts, grant, answer)
+                return
+            except errors.TargetError as error:
+                attempts.fail(error, grant)
+                if answer.started:
+                    raise
+                self._check_retry(attempts, error)
+
+    async def _acquire(self, attempts):
+        """Return a grant whose request may be sent at once."""
+        while True:
+            admit = attempts.make_admit_request(self._host)
+            started = self._host.clock.now()
+            grant = await self._slots.acquire(admit)
+            granted_at = self._host.clock.now()
+            attempts.note(
+                f'slot {grant.unit.index} of {grant.unit.target} granted '
+                f'after {(granted_at - started) * 1000:.1f} ms'
+            )
+            try:
+                may_send = await self._check_send(attempts, grant, granted_at)
+            except BaseException:
+                self._give_back(grant, attempts)
+                raise
+            if may_send:
+                return grant
+            self._give_back(grant, attempts)
+            await asyncio.sleep(RETRY_DELAY_S)
+            self._check_deadline(attempts)
+
+    def _give_back(self, grant, attempts):
+        self._slots.release(grant, attempts.digest, messages.Outcome.NOT_SENT)
+
+    def _check_deadline(self, attempts):
+        now = self._host.clock.now()
+        if attempts.request.remaining_s(now) <= 0:
+            gate.refuse(
+                verdicts.Reason.DEADLINE_EXCEEDED,
+                'the deadline passed before the request could be sent',
+            )
+
+    async def _check_send(self, attempts, grant, granted_at):
+        """Take a token, then check everything again before the send."""
+        if attempts.needs_token:
+            match await self._tokens.take(attempts.admission.workspace):
+                case messages.Denied(retry_after_s):
+                    gate.refuse_rate(retry_after_s)
+                case messages.NoRights():
+                    attempts.note('no host holds the rate rights; waiting')
+                    return False
+            attempts.needs_token = False
+        self._check_deadline(attempts)
+        fresh = self._host.clock.now() - granted_at <= MAX_GRANT_AGE_S
+        return self._gate.recheck(attempts.admission, grant.unit) and fresh
+
+    async def _send(self, attempts, grant, answer):
+        """Send the request once and pass the answer on."""
+        outcome, measured = messages.Outcome.CANCELLED, {}
+        attempts.start_send()
+        try:
+            async with self._open(attempts, grant) as response:
+                measured = {
+                    'latency_s': response.latency_s,
+                    'cold': response.cold,
+                    'instance': response.instance,
+                }
+                attempts.note(
+                    f'{grant.unit.target} answered {response.status} after '
+                    f'{response.latency_s * 1000:.1f} ms'
+                )
+                await answer.send(response)
+                outcome = response.outcome
+                attempts.finish(response)
+        except errors.TargetError as error:
+            outcome = error.outcome
+            raise
+        finally:
+            self._host.metrics.attempts.inc(
+                {'service': grant.unit.service, 'outcome': outcome.value}
+            )
+            self._slots.release(grant, attempts.digest, outcome, **measured)
+
+    def _open(self, attempts, grant):
+        request = attempts.request
+        return self._forwarder.open(
+            target=grant.unit.target,
+            method=request.method,
+            path=request.raw_target,
+            headers=request.headers,
+            body=request.body.stream(),
+            request_id=attempts.attempt_id,
+            deadline=request.deadline,
+        )
+
+    def _check_retry(self, attempts, error):
+        """Return if the request may be sent again, else raise."""
+        request = attempts.request
+        decision = retries.decide_retry(
+            error.outcome,
+            verdict=error.verdict,
+            idempotent=attempts.admission.idempotent,
+            attempt=attempts.number - 1,
+            remaining_s=request.remaining_s(self._host.clock.now()),
+        )
+        match decision:
+            case retries.Retry() if request.body.replayable:
+                attempts.note('sending the request to another target')
+            case _:
+                raise errors.RefusedError(make_refusal(error)) from error
--- /dev/null
+++ b/lavenderstile/exchanges.py
@@ -0,0 +1,196 @@
+"""Exchanges: the heartbeat of each pair of hosts, once a second."""
+
+import asyncio
+
+import eliot
+
+from . import errors
+from . import membership as membership_module
+from . import owner as owner_module
+from . import ownership
+from . import peers
+from . import wire
+from .proto import peer_pb2
+
+# How soon an exchange with a newly known peer starts.
+PEER_CHECK_INTERVAL_S = 0.25
+
+
+class Exchanges:
+    """Starts exchanges with all known peers and answers theirs."""
+
+    def __init__(self, host, membership, owner, owners, configuration_task):
+        self._host = host
+        self._clock = host.clock
+        self._membership = membership
+        self._owner = owner
+        self._ownership = owners
+        self._configuration_task = configuration_task
+        self._configuration = configuration_task.configuration
+        self._tasks = {}
+        self._fetching = set()
+        self._running_grants = tuple
+        self._is_ready = bool
+
+    def now(self):
+        """Return the time on the host's clock."""
+        return self._clock.now()
+
+    def set_sources(self, running_grants, is_ready):
+        """Set what lists running grants and tells readiness."""
+        self._running_grants = running_grants
+        self._is_ready = is_ready
+
+    async def run(self):
+        """Keep one task per peer until cancelled."""
+        try:
+            while True:
+                self._start_tasks()
+                await asyncio.sleep(PEER_CHECK_INTERVAL_S)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def _start_tasks(self):
+        known = self._membership.peers
+        for address in known:
+            if address not in self._tasks:
+                self._tasks[address] = asyncio.create_task(
+                    self._run_peer(address)
+                )
+        for address in set(self._tasks) - set(known):
+            self._tasks.pop(address).cancel()
+
+    async def _run_peer(self, address):
+        interval_s = self._host.settings.timing.exchange_interval_s
+        while True:
+            started = self.now()
+            if not await self.exchange_with(address):
+                await self.exchange_with(address)
+            spent = self.now() - started
+            await asyncio.sleep(max(interval_s / 10, interval_s - spent))
+
+    async def exchange_with(self, address):
+        """Exchange once with a peer; return whether it answered."""
+        peer = self._membership.peers.get(address)
+        if peer is None:
+            return False
+        sent_at = self.now()
+        request = self._make_request(address)
+        try:
+            reply = await self._host.clients.call(
+                peer.endpoint, 'Exchange', request, peers.EXCHANGE_TIMEOUT_S
+            )
+        except errors.PeerError:
+            self._host.metrics.exchanges.inc({'result': 'failed'})
+            return False
+        self._host.metrics.exchanges.inc({'result': 'ok'})
+        self._accept(reply, peer.endpoint, sent_at)
+        return True
+
+    def _make_request(self, address):
+        request = peer_pb2.ExchangeRequest(
+            borrow=wire.pack_borrow(self._owner.borrow_request(address)),
+            running=wire.pack_running(self._running_for(address)),
+            summaries=[
+                wire.pack_summary(summary)
+                for summary in self._owner.summaries_for(address)
+            ],
+        )
+        self._fill_status(request)
+        return request
+
+    def _running_for(self, address):
+        """Return the grants in use that `address` has to know."""
+        _, services = self._ownership.owned_by(address, self.now())
+        return [
+            grant
+            for owner, grant in self._running_grants()
+            if owner == address or grant.unit.service in services
+        ]
+
+    def _fill_status(self, message):
+        membership = self._membership
+        message.address = self._host.peer_endpoint
+        message.domain = self._host.domain
+        message.incarnation = membership.incarnation
+        message.leaving = membership.leaving
+        message.ready = self._is_ready()
+        message.newest_ticket = self._configuration.newest or 0
+        message.configuration_digest = self._configuration.digest
+        message.heard.extend(
+            peer_pb2.Heard(address=address)
+            for address in membership.heard(self.now())
+        )
+
+    def _read_report(self, message):
+        return membership_module.PeerReport(
+            address=message.address.rpartition(':')[0],
+            endpoint=message.address,
+            domain=message.domain,
+            incarnation=message.incarnation,
+            leaving=message.leaving,
+            ready=message.ready,
+            heard=tuple(item.address for item in message.heard),
+        )
+
+    def _accept(self, reply, endpoint, sent_at):
+        report = self._read_report(reply)
+        if not self._membership.record_success(report, self.now()):
+            return
+        if reply.HasField('grant'):
+            self._owner.post(
+                owner_module.Borrow(
+                    report.address,
+                    report.incarnation,
+                    sent_at,
+                    wire.unpack_lease(reply.grant),
+                )
+            )
+        self._compare(reply.configuration_digest, endpoint)
+
+    async def answer(self, request):
+        """Return the reply to a peer's exchange."""
+        report = self._read_report(request)
+        reply = peer_pb2.ExchangeReply()
+        if self._membership.record_heard(report, self.now()):
+            await self._answer_borrower(request, report, reply)
+        self._compare(request.configuration_digest, report.endpoint)
+        self._fill_status(reply)
+        return reply
+
+    async def _answer_borrower(self, request, report, reply):
+        running = wire.unpack_running(request.running, report.address)
+        self._owner.post(owner_module.Adopt(report.address, tuple(running)))
+        for summary in request.summaries:
+            self._owner.post(
+                owner_module.Inherit(wire.unpack_summary(summary))
+            )
+        borrow = wire.unpack_borrow(
+            request.borrow, report.address, report.incarnation
+        )
+        grant = await self._owner.lend(borrow)
+        if grant is not None:
+            reply.grant.CopyFrom(wire.pack_lease(grant))
+
+    def _compare(self, digest, endpoint):
+        """Fetch tickets from a peer whose configuration differs."""
+        if digest == self._configuration.digest or endpoint in self._fetching:
+            return
+        self._fetching.add(endpoint)
+        self._host.spawn(self._fetch(endpoint))
+
+    async def _fetch(self, endpoint):
+        try:
+            request = peer_pb2.TicketsRequest(
+                known=list(self._configuration.tickets)
+            )
+            reply = await self._host.clients.call(
+                endpoint, 'Tickets', request, peers.TICKETS_TIMEOUT_S
+            )
+            for text in reply.texts:
+                await self._configuration_task.deliver(text, endpoint)
+        except errors.PeerError as error:
+            eliot.log_message('ticket_fetch_failed', error=str(error))
+        finally:
+            self._fetching.discard(endpoint)
--- /dev/null
+++ b/lavenderstile/gate.py
@@ -0,0 +1,158 @@
+"""First checks of a request: readiness, route, key, rate hint."""
+
+import dataclasses
+
+from . import errors
+from . import keys
+from . import models
+from . import verdicts
+
+AUTHORIZATION_HEADER = b'authorization'
+# A denial is remembered at most this long, since rights may come back.
+MAX_RATE_HINT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that passed the first checks.
+
+    `key_digest` is empty on open routes, as is `workspace`.
+    """
+
+    route: models.Route
+    service: models.Service
+    workspace: str
+    key_digest: str
+    idempotent: bool
+
+
+def refuse(reason, detail, **options):
+    """Raise the refusal of a request."""
+    raise errors.RefusedError(verdicts.Refusal(reason, detail, **options))
+
+
+class RateHints:
+    """Workspaces that were denied lately, and until when."""
+
+    __slots__ = ('_until',)
+
+    def __init__(self):
+        self._until = {}
+
+    def deny(self, workspace, retry_after_s, now):
+        """Remember a denial by the owner of the workspace's rate."""
+        wait_s = min(retry_after_s, MAX_RATE_HINT_S)
+        self._until[workspace] = now + wait_s
+
+    def remaining_s(self, workspace, now):
+        """Return for how long there is surely no token."""
+        until = self._until.get(workspace)
+        if until is None:
+            return 0.0
+        if until <= now:
+            del self._until[workspace]
+            return 0.0
+        return until - now
+
+
+class Gate:
+    """Checks requests against the configuration in force."""
+
+    def __init__(self, configuration_task, hints):
+        self._task = configuration_task
+        self._hints = hints
+
+    def check(self, request, now):
+        """Return the Admission of a request, or raise its refusal."""
+        route = self._find_route(request)
+        request.record.route = route.name
+        workspace, digest = self._find_workspace(request, route)
+        request.record.workspace = workspace
+        service = self._find_service(route)
+        request.set_deadline(service.timeout_ms)
+        self._check_hint(workspace, now)
+        return Admission(
+            route,
+            service,
+            workspace,
+            digest,
+            route.is_idempotent(request.method),
+        )
+
+    def _find_route(self, request):
+        table = self._task.route_table
+        route = table.match(request.method, request.path)
+        if route is not None:
+            return route
+        allowed = table.allowed_methods(request.path)
+        if allowed:
+            refuse(
+                verdicts.Reason.METHOD_NOT_ALLOWED,
+                f'the route takes only {", ".join(allowed)}',
+            )
+        refuse(verdicts.Reason.ROUTE_UNKNOWN, 'no route matches the path')
+
+    def _find_workspace(self, request, route):
+        if route.open:
+            return '', ''
+        key = keys.extract_bearer(request.header(AUTHORIZATION_HEADER))
+        if key is None:
+            refuse(
+                verdicts.Reason.KEY_MISSING,
+                'send the key as "Authorization: Bearer <key>"',
+            )
+        workspace = self._task.key_ring.find(key)
+        if workspace is None:
+            refuse(verdicts.Reason.KEY_UNKNOWN, 'the key is not in force')
+        return workspace, keys.digest_key(key)
+
+    def _find_service(self, route):
+        service = self._task.configuration.services.get(route.service)
+        if service is None:
+            refuse(
+                verdicts.Reason.SERVICE_UNKNOWN,
+                f'the route leads to service {route.service!r}, which is '
+                'not configured',
+            )
+        return service
+
+    def _check_hint(self, workspace, now):
+        wait_s = self._hints.remaining_s(workspace, now)
+        if wait_s > 0:
+            refuse_rate(wait_s)
+
+    def recheck(self, admission, unit):
+        """Check again, just before the send, what may have changed.
+
+        Raise the refusal of a withdrawn key; return whether the target may
+        still get new work.
+        """
+        if admission.key_digest:
+            found = self._task.key_ring.find_digest(admission.key_digest)
+            if found != admission.workspace:
+                refuse(
+                    verdicts.Reason.KEY_UNKNOWN,
+                    'the key was withdrawn while the request waited',
+                )
+        return self._is_in_service(unit)
+
+    def _is_in_service(self, unit):
+        configuration = self._task.configuration
+        service = configuration.services.get(unit.service)
+        if service is None:
+            return False
+        return any(
+            target.address == unit.target
+            and not target.leaving
+            and target.domain not in configuration.domains_out
+            for target in service.targets
+        )
+
+
+def refuse_rate(retry_after_s):
+    """Raise the refusal of a request beyond its workspace's rate."""
+    refuse(
+        verdicts.Reason.RATE_EXCEEDED,
+        'the workspace has used up its rate and burst',
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/lavenderstile/inbound.py
@@ -0,0 +1,169 @@
+"""A caller's request as it arrives at the host."""
+
+import asyncio
+import uuid
+
+from . import errors
+from . import verdicts
+
+# The part of a body that is held: it is digested and can be sent again.
+BODY_HEAD_BYTES = 64 * 1024
+TIMEOUT_HEADER = b'x-request-timeout-ms'
+
+
+class CallerGoneError(errors.LavenderstileError):
+    """The caller closed its connection before the answer."""
+
+
+class RequestBody:
+    """The body of a request, streamed; only its head is held."""
+
+    __slots__ = (
+        '_complete',
+        '_completed',
+        '_head',
+        '_max_bytes',
+        '_receive',
+        '_size',
+        '_streamed',
+    )
+
+    def __init__(self, receive, max_bytes=None):
+        self._receive = receive
+        self._max_bytes = max_bytes
+        self._head = []
+        self._size = 0
+        self._complete = False
+        self._completed = asyncio.Event()
+        self._streamed = False
+
+    @property
+    def head(self):
+        """The held part of the body."""
+        return b''.join(self._head)
+
+    @property
+    def complete(self):
+        """Whether the caller has sent the whole body."""
+        return self._complete
+
+    @property
+    def replayable(self):
+        """Whether the body can be sent to another target."""
+        return self._complete or not self._streamed
+
+    async def _read(self):
+        message = await self._receive()
+        if message['type'] != 'http.request':
+            raise CallerGoneError('the caller closed the connection')
+        if not message.get('more_body', False):
+            self._complete = True
+            self._completed.set()
+        chunk = message.get('body', b'')
+        self._size += len(chunk)
+        if self._max_bytes is not None and self._size > self._max_bytes:
+            raise errors.RefusedError(self._make_refusal())
+        return chunk
+
+    def _make_refusal(self):
+        """Return the refusal of a body that exceeds the limit."""
+        verdict = verdicts.Verdict.NOT_RUN
+        if self._streamed:
+            verdict = verdicts.Verdict.MAY_HAVE_RUN
+        return verdicts.Refusal(
+            verdicts.Reason.BODY_TOO_LARGE,
+            f'the body is larger than {self._max_bytes} bytes',
+            verdict,
+        )
+
+    async def prefetch(self):
+        """Read the head of the body."""
+        while not self._complete and self._size < BODY_HEAD_BYTES:
+            self._head.append(await self._read())
+
+    async def stream(self):
+        """Yield the whole body."""
+        for chunk in self._head:
+            if chunk:
+                yield chunk
+        while not self._complete:
+            self._streamed = True
+            chunk = await self._read()
+            if chunk:
+                yield chunk
+
+    async def wait_until_complete(self):
+        """Return once the caller has sent the whole body.
+
+        Until then the reader of the body notices a disconnect.
+        """
+        await self._completed.wait()
+
+    async def wait_for_disconnect(self):
+        """Return when the caller closes the connection after its body."""
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                return
+
+
+class InboundRequest:
+    """A request with its deadline on the host's clock."""
+
+    __slots__ = (
+        'arrived_at',
+        'body',
+        'deadline',
+        'headers',
+        'method',
+        'path',
+        'query',
+        'record',
+        'request_id',
+    )
+
+    def __init__(self, scope, receive, now, journal, max_body_bytes=None):
+        self.arrived_at = now
+        self.request_id = uuid.uuid4().hex
+        self.method = scope['method']
+        # The path as sent: decoding it could change where it leads.
+        self.path = scope['raw_path'].decode('latin-1')
+        self.query = scope.get('query_string', b'')
+        self.headers = scope['headers']
+        self.body = RequestBody(receive, max_body_bytes)
+        self.deadline = None
+        self.record = journal.open(self.request_id, self.method)
+
+    @property
+    def raw_target(self):
+        """The request target: path and query, as bytes."""
+        path = self.path.encode('latin-1')
+        return path + b'?' + self.query if self.query else path
+
+    def header(self, name):
+        """Return the only value of a header, or None."""
+        values = [value for key, value in self.headers if key == name]
+        return values[0].decode('latin-1') if values else None
+
+    def set_deadline(self, service_timeout_ms):
+        """Derive the deadline from the caller's and the service's limit."""
+        timeout_ms = service_timeout_ms
+        text = self.header(TIMEOUT_HEADER)
+        if text is not None:
+            timeout_ms = min(timeout_ms, _parse_timeout(text))
+        self.deadline = self.arrived_at + timeout_ms / 1000
+
+    def remaining_s(self, now):
+        """Return the seconds left until the deadline."""
+        return self.deadline - now
+
+
+def _parse_timeout(text):
+    if text.isascii() and text.isdigit() and 0 < int(text) < 10**9:
+        return int(text)
+    raise errors.RefusedError(
+        verdicts.Refusal(
+            verdicts.Reason.HEADER_INVALID,
+            'X-Request-Timeout-Ms must be a whole number of milliseconds',
+        )
+    )
--- /dev/null
+++ b/lavenderstile/membership.py
@@ -0,0 +1,255 @@
+"""Liveness of peer hosts, as seen from one host."""
+
+import dataclasses
+import enum
+
+from . import hashing
+
+EXCHANGE_INTERVAL_S = 1.0
+# Three exchanges in a row without an answer.
+ALIVE_WITHIN_S = 3.0
+# A peer that is neither listed nor heard for this long is forgotten.
+FORGET_AFTER_S = 60.0
+
+
+class PeerState(enum.Enum):
+    """Liveness of a peer."""
+
+    ALIVE = 'alive'
+    RELAYED = 'relayed'
+    LEAVING = 'leaving'
+    DEAD = 'dead'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerReport:
+    """What a peer says of itself in an exchange."""
+
+    address: str
+    endpoint: str
+    domain: str
+    incarnation: int
+    leaving: bool = False
+    ready: bool = True
+    heard: tuple[str, ...] = ()
+
+
+class Peer:
+    """A known peer host and when it was last heard."""
+
+    __slots__ = (
+        'address',
+        'domain',
+        'endpoint',
+        'heard_at',
+        'incarnation',
+        'leaving',
+        'listed_at',
+        'ready',
+        'relayed_at',
+        'relays',
+        'succeeded_at',
+    )
+
+    def __init__(self, address, endpoint):
+        self.address = address
+        self.endpoint = endpoint
+        self.domain = ''
+        self.incarnation = 0
+        self.leaving = False
+        self.ready = False
+        self.succeeded_at = None
+        self.heard_at = None
+        self.relayed_at = None
+        self.relays = ()
+        self.listed_at = None
+
+
+def _is_recent(moment, now, window=ALIVE_WITHIN_S):
+    return moment is not None and now - moment <= window
+
+
+class Membership:
+    """The peers of one host and the view derived from them.
+
+    Only a completed exchange that this host started proves that messages
+    pass in both directions. A peer that only other hosts hear is relayed:
+    it is not in the view, since this host cannot ask it anything.
+    """
+
+    __slots__ = ('_address', '_domain', '_incarnation', '_leaving', '_peers')
+
+    def __init__(self, address, domain, incarnation):
+        self._address = address
+        self._domain = domain
+        self._incarnation = incarnation
+        self._leaving = False
+        self._peers = {}
+
+    @property
+    def address(self):
+        """This host's address."""
+        return self._address
+
+    @property
+    def incarnation(self):
+        """Number that grows with each start of a process at an address."""
+        return self._incarnation
+
+    @property
+    def leaving(self):
+        """Whether this host has announced that it leaves."""
+        return self._leaving
+
+    @property
+    def peers(self):
+        """Known peers by address."""
+        return dict(self._peers)
+
+    def announce_leaving(self):
+        """Leave the view: this host owns nothing from now on."""
+        self._leaving = True
+
+    def add(self, address, endpoint):
+        """Make a peer known without any sign of life."""
+        if address == self._address:
+            return None
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = Peer(address, endpoint)
+        return peer
+
+    def record_success(self, report, now):
+        """Record a completed exchange; return False if it is outdated."""
+        peer = self._record_report(report, now)
+        if peer is None:
+            return False
+        peer.succeeded_at = now
+        self._record_relays(peer, report.heard, now)
+        return True
+
+    def record_heard(self, report, now):
+        """Record a message from a peer, a proof of one direction only."""
+        peer = self._record_report(report, now)
+        if peer is None:
+            return False
+        self._record_relays(peer, report.heard, now)
+        return True
+
+    def record_failure(self, address):
+        """Record a call that the peer's address refused."""
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.succeeded_at = None
+
+    def record_listing(self, hosts, now):
+        """Record the platform's list: address -> (endpoint, leaving)."""
+        for address, (endpoint, leaving) in hosts.items():
+            peer = self.add(address, endpoint)
+            if peer is None:
+                continue
+            peer.listed_at = now
+            peer.endpoint = endpoint
+            # The list lags: it may still call a replaced host leaving.
+            if leaving and peer.incarnation == 0:
+                peer.leaving = True
+        self._forget(now)
+
+    def _record_report(self, report, now):
+        peer = self.add(report.address, report.endpoint)
+        if peer is None or report.incarnation < peer.incarnation:
+            return None
+        if report.incarnation > peer.incarnation:
+            peer.succeeded_at = None
+        peer.incarnation = report.incarnation
+        peer.endpoint = report.endpoint
+        peer.domain = report.domain
+        peer.leaving = report.leaving
+        peer.ready = report.ready
+        peer.heard_at = now
+        return peer
+
+    def _record_relays(self, relay, heard, now):
+        relay.relays = tuple(heard)
+        for address in heard:
+            peer = self._peers.get(address)
+            if peer is not None:
+                peer.relayed_at = now
+
+    def _forget(self, now):
+        for address, peer in list(self._peers.items()):
+            signs = (peer.listed_at, peer.heard_at, peer.succeeded_at)
+            if not any(
+                _is_recent(sign, now, FORGET_AFTER_S) for sign in signs
+            ):
+                del self._peers[address]
+
+    def state(self, address, now):
+        """Return a peer's state."""
+        peer = self._peers.get(address)
+        if peer is None:
+            return PeerState.DEAD
+        if _is_recent(peer.succeeded_at, now):
+            return PeerState.LEAVING if peer.leaving else PeerState.ALIVE
+        if _is_recent(peer.relayed_at, now):
+            return PeerState.RELAYED
+        return PeerState.DEAD
+
+    def heard(self, now):
+        """Return the peers whose exchanges succeeded lately."""
+        return tuple(
+            address
+            for address, peer in self._peers.items()
+            if _is_recent(peer.succeeded_at, now)
+        )
+
+    def has_contact(self, now):
+        """Return whether any peer answered lately."""
+        return bool(self.heard(now))
+
+    def view(self, now):
+        """Return the hosts that may own something, this one included."""
+        members = [
+            address
+            for address, peer in self._peers.items()
+            if peer.ready and self.state(address, now) is PeerState.ALIVE
+        ]
+        if not self._leaving:
+            members.append(self._address)
+        return tuple(sorted(members))
+
+    def rank(self, item, now):
+        """Return the view ordered by preference for `item`."""
+        return hashing.rank(item, self.view(now))
+
+    def domain_of(self, address):
+        """Return the failure domain of a host, or '' if unknown."""
+        if address == self._address:
+            return self._domain
+        peer = self._peers.get(address)
+        return peer.domain if peer else ''
+
+    def dump(self, now):
+        """Return the state as JSON-able data."""
+        return {
+            'address': self._address,
+            'domain': self._domain,
+            'incarnation': self._incarnation,
+            'leaving': self._leaving,
+            'view': list(self.view(now)),
+            'peers': {
+                address: {
+                    'state': self.state(address, now).value,
+                    'domain': peer.domain,
+                    'incarnation': peer.incarnation,
+                    'ready': peer.ready,
+                    'seconds_since_success': _age(peer.succeeded_at, now),
+                    'seconds_since_heard': _age(peer.heard_at, now),
+                }
+                for address, peer in sorted(self._peers.items())
+            },
+        }
+
+
+def _age(moment, now):
+    return None if moment is None else round(now - moment, 3)
--- /dev/null
+++ b/lavenderstile/serving.py
@@ -0,0 +1,74 @@
+"""HTTP listeners of the daemon, by uvicorn."""
+
+import asyncio
+import contextlib
+
+import litestar
+import uvicorn
+
+from . import errors
+
+START_POLL_S = 0.01
+
+
+class Listener(uvicorn.Server):
+    """A uvicorn server whose process handles the signals itself."""
+
+    def __init__(self, application, address):
+        host, _, port = address.rpartition(':')
+        self._address = address
+        self._finished = False
+        super().__init__(
+            uvicorn.Config(
+                application,
+                host=host,
+                port=int(port),
+                # uvloop's library contains io_uring code.
+                loop='asyncio',
+                http='h11',
+                lifespan='off',
+                ws='none',
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                date_header=False,
+                proxy_headers=False,
+                timeout_graceful_shutdown=None,
+            )
+        )
+
+    @property
+    def finished(self):
+        """Whether the listener is closed and all its requests are done."""
+        return self._finished
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave signals alone: the daemon decides about stops."""
+        yield
+
+    async def run_until_finished(self):
+        """Serve until `should_exit` is set and all requests are done."""
+        try:
+            await self.serve()
+        except SystemExit:
+            raise errors.SettingsError(
+                'listen', [f'{self._address}: cannot listen here']
+            ) from None
+        finally:
+            self._finished = True
+
+    async def wait_until_started(self):
+        """Return when the listener accepts connections."""
+        while not self.started and not self._finished:
+            await asyncio.sleep(START_POLL_S)
+
+
+def mount(application):
+    """Return a litestar application that passes everything on."""
+
+    @litestar.asgi('/', is_mount=True, copy_scope=False)
+    async def forward(scope, receive, send) -> None:
+        await application(scope, receive, send)
+
+    return litestar.Litestar(route_handlers=[forward], openapi_config=None)
--- /dev/null
+++ b/lavenderstile/slot_client.py
@@ -0,0 +1,137 @@
+"""Asks the owner of a service for slots, and gives them back."""
+
+import asyncio
+
+from . import errors
+from . import gate
+from . import membership
+from . import messages
+from . import ownership
+from . import verdicts
+from . import wire
+
+CANDIDATES = 2
+# How often a waiting call checks that its owner is still alive.
+LIVENESS_CHECK_S = 0.25
+# Pause between rounds while no owner answers.
+RETRY_DELAY_S = 0.1
+# Without an owner for this long a request is refused: a lease plus margin,
+# after which another host owns the service.
+OWNER_WAIT_S = 4.0
+# Allowance for the way back of an answer given at the deadline.
+REPLY_ALLOWANCE_S = 0.2
+
+
+class SlotClient:
+    """Acquires slots for this host's requests."""
+
+    def __init__(self, host, owner, owners):
+        self._host = host
+        self._owner = owner
+        self._ownership = owners
+        self._running = {}
+
+    def own_running(self):
+        """Return all grants in use, for this host's own admissions."""
+        return [report for _, report in self.running_reports()]
+
+    def running_reports(self):
+        """Return (owner, report) of all grants in use."""
+        return [
+            (
+                owner,
+                messages.RunningGrant(
+                    grant.grant_id, self._host.address, grant.unit
+                ),
+            )
+            for owner, grant in self._running.values()
+        ]
+
+    async def acquire(self, request):
+        """Return a grant, or raise the refusal."""
+        give_up_at = self._host.clock.now() + OWNER_WAIT_S
+        while True:
+            for address in self._candidates(request.service):
+                result = await self._ask(address, request)
+                match result:
+                    case messages.Grant():
+                        return result
+                    case verdicts.Refusal():
+                        raise errors.RefusedError(result)
+            now = self._host.clock.now()
+            if now + RETRY_DELAY_S >= min(request.deadline, give_up_at):
+                gate.refuse(
+                    verdicts.Reason.OWNER_UNREACHABLE,
+                    'no host that owns the service answers',
+                    retry_after_s=1.0,
+                )
+            await asyncio.sleep(RETRY_DELAY_S)
+
+    def _candidates(self, service):
+        item = ownership.service_item(service)
+        now = self._host.clock.now()
+        return self._ownership.candidates(item, now)[:CANDIDATES]
+
+    async def _ask(self, address, request):
+        """Return a grant, a refusal, or None when there is no answer."""
+        if address == self._host.address:
+            outcome = await self._owner.admit(request)
+            return self._note(outcome, address)
+        call = asyncio.ensure_future(self._call(address, request))
+        try:
+            while True:
+                done, _ = await asyncio.wait({call}, timeout=LIVENESS_CHECK_S)
+                if done:
+                    return self._note(*call.result())
+                if not self._is_alive(address):
+                    return None
+        except errors.PeerError:
+            return None
+        finally:
+            call.cancel()
+
+    def _is_alive(self, address):
+        now = self._host.clock.now()
+        state = self._host.membership.state(address, now)
+        return state in (
+            membership.PeerState.ALIVE,
+            membership.PeerState.LEAVING,
+        )
+
+    async def _call(self, address, request):
+        now = self._host.clock.now()
+        packed = wire.pack_admit(request, now)
+        timeout_s = max(0.0, request.deadline - now) + REPLY_ALLOWANCE_S
+        reply = await self._host.call_peer(address, 'Admit', packed, timeout_s)
+        return wire.unpack_decision(reply, request.request_id)
+
+    def _note(self, outcome, owner):
+        match outcome:
+            case messages.Grant(grant_id=grant_id):
+                self._running[grant_id] = (owner, outcome)
+        return outcome
+
+    def release(self, grant, digest, outcome, **measured):
+        """Give a slot back and report how the attempt went."""
+        owner, _ = self._running.pop(grant.grant_id)
+        report = messages.ReleaseReport(
+            grant.grant_id,
+            self._host.address,
+            grant.unit,
+            digest,
+            outcome,
+            **measured,
+        )
+        if owner == self._host.address:
+            self._owner.post_release(report)
+        else:
+            self._host.spawn(self._send_release(owner, report))
+
+    async def _send_release(self, owner, report):
+        """Send a report; a lost one is noticed by the next exchanges."""
+        try:
+            await self._host.call_peer(
+                owner, 'Release', wire.pack_release(report)
+            )
+        except errors.PeerError:
+            self._host.metrics.exchanges.inc({'result': 'release_lost'})
--- a/lavenderstile/verdicts.py
+++ b/lavenderstile/verdicts.py
@@ -15,6 +15,9 @@
 class Reason(enum.Enum):
     """Reason codes of refusals; part of the public interface."""
 
+    HEADER_INVALID = 'header_invalid'
+    BODY_TOO_LARGE = 'body_too_large'
+    HOST_OVERLOADED = 'host_overloaded'
     KEY_MISSING = 'key_missing'
     KEY_UNKNOWN = 'key_unknown'
     ROUTE_UNKNOWN = 'route_unknown'
@@ -41,6 +44,9 @@
 
 
 STATUS_BY_REASON = {
+    Reason.HEADER_INVALID: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.HOST_OVERLOADED: 503,
     Reason.KEY_MISSING: 401,
     Reason.KEY_UNKNOWN: 401,
     Reason.ROUTE_UNKNOWN: 404,
