--- /dev/null
+++ b/lavenderstile/rates.py
@@ -0,0 +1,207 @@
+"""Token buckets in integer millionths, and pools of borrowed shares."""
+
+from . import messages
+
+NANOSECONDS = 1_000_000_000
+# Retry-After of a pool that cannot hold one token or does not refill; only
+# a change of the rights can help, and those move within seconds.
+EMPTY_RETRY_S = 10.0
+
+
+class Bucket:
+    """A token bucket whose rate and capacity can change at any time.
+
+    The level is an integer in millionths of a token. The remainder of each
+    refill is carried over, so that frequent calls lose nothing.
+    """
+
+    __slots__ = (
+        '_capacity_micro',
+        '_carry',
+        '_level_micro',
+        '_rate_micro',
+        '_settled_ns',
+    )
+
+    def __init__(self, now, rate_micro=0, capacity_micro=0, level_micro=0):
+        self._rate_micro = rate_micro
+        self._capacity_micro = capacity_micro
+        self._level_micro = min(level_micro, capacity_micro)
+        self._settled_ns = int(now * NANOSECONDS)
+        self._carry = 0
+
+    @property
+    def rate_micro(self):
+        """Millionths of a token added per second."""
+        return self._rate_micro
+
+    @property
+    def capacity_micro(self):
+        """Largest level in millionths."""
+        return self._capacity_micro
+
+    @property
+    def level_micro(self):
+        """Level in millionths at the last settlement."""
+        return self._level_micro
+
+    def settle(self, now):
+        """Add the tokens that accrued until `now`."""
+        now_ns = int(now * NANOSECONDS)
+        elapsed_ns = now_ns - self._settled_ns
+        if elapsed_ns <= 0:
+            return
+        self._settled_ns = now_ns
+        accrued = self._rate_micro * elapsed_ns + self._carry
+        tokens_micro, self._carry = divmod(accrued, NANOSECONDS)
+        self._add(tokens_micro)
+
+    def resize(self, rate_micro, capacity_micro):
+        """Set rate and capacity; a level above the capacity is cut."""
+        self._rate_micro = rate_micro
+        self._capacity_micro = capacity_micro
+        self._add(0)
+
+    def put(self, tokens_micro):
+        """Add tokens up to the capacity."""
+        self._add(tokens_micro)
+
+    def remove(self, tokens_micro):
+        """Take tokens out; the caller knows that the level suffices."""
+        self._level_micro -= tokens_micro
+
+    def drain(self):
+        """Take all tokens out and return them."""
+        tokens_micro = self._level_micro
+        self._level_micro = 0
+        self._carry = 0
+        return tokens_micro
+
+    def _add(self, tokens_micro):
+        self._level_micro += tokens_micro
+        if self._level_micro >= self._capacity_micro:
+            self._level_micro = self._capacity_micro
+            self._carry = 0
+
+
+class Share:
+    """One lender's part of a pool.
+
+    `lease` is the lease that the share belongs to; its `until` moves when
+    the lease is renewed.
+    """
+
+    __slots__ = ('burst_micro', 'lease', 'rate_micro')
+
+    def __init__(self, lease, rate_micro, burst_micro):
+        self.lease = lease
+        self.rate_micro = rate_micro
+        self.burst_micro = burst_micro
+
+
+class TokenPool:
+    """The tokens of one workspace at one borrower.
+
+    Rate and capacity are the sums over the shares held. A share whose lease
+    has ended leaves the pool before any token is taken; the refill before
+    each such end is counted with the shares held until then.
+    """
+
+    __slots__ = ('_bucket', '_check_at', '_shares')
+
+    def __init__(self, now):
+        self._bucket = Bucket(now)
+        self._shares = {}
+        # No lease ends before this time. Renewals only postpone ends, so
+        # the bound stays valid without being told of them.
+        self._check_at = float('inf')
+
+    @property
+    def shares(self):
+        """Shares by lender, as of the last settlement."""
+        return self._shares
+
+    @property
+    def bucket(self):
+        """The bucket that holds the tokens."""
+        return self._bucket
+
+    def has_ended(self, now):
+        """Return whether a share may have ended since the last check."""
+        return now >= self._check_at
+
+    def settle(self, now):
+        """Refill until `now` and drop the shares whose lease has ended."""
+        if now >= self._check_at:
+            self._drop_ended(now)
+        self._bucket.settle(now)
+
+    def put_share(self, lender, share, tokens_micro, now):
+        """Add or replace a lender's share; tokens come on top."""
+        self.settle(now)
+        self._shares[lender] = share
+        self._check_at = min(self._check_at, share.lease.until)
+        self._resize()
+        self._bucket.put(tokens_micro)
+
+    def remove_share(self, lender, now):
+        """Drop a lender's share; capacity and level shrink at once."""
+        self.settle(now)
+        if self._shares.pop(lender, None) is not None:
+            self._resize()
+
+    def take(self, now):
+        """Take one token."""
+        self.settle(now)
+        bucket = self._bucket
+        if not self._shares:
+            return messages.NoRights()
+        if bucket.capacity_micro < messages.MICRO:
+            return messages.Denied(EMPTY_RETRY_S)
+        if bucket.level_micro >= messages.MICRO:
+            bucket.remove(messages.MICRO)
+            return messages.Taken()
+        if bucket.rate_micro == 0:
+            return messages.Denied(EMPTY_RETRY_S)
+        missing = messages.MICRO - bucket.level_micro
+        return messages.Denied(missing / bucket.rate_micro)
+
+    def split(self, now):
+        """Take all tokens out; return each lender's part of them.
+
+        The parts are proportional to the shares' bursts, so no part is
+        larger than what its lender's own bucket can hold.
+        """
+        self.settle(now)
+        capacity_micro = self._bucket.capacity_micro
+        level_micro = self._bucket.drain()
+        return {
+            lender: (
+                level_micro * share.burst_micro // capacity_micro
+                if capacity_micro
+                else 0
+            )
+            for lender, share in self._shares.items()
+        }
+
+    def _drop_ended(self, now):
+        ended = [
+            (share.lease.until, lender)
+            for lender, share in self._shares.items()
+            if share.lease.until <= now
+        ]
+        for until, lender in sorted(ended):
+            self._bucket.settle(until)
+            del self._shares[lender]
+            self._resize()
+        self._check_at = min(
+            (share.lease.until for share in self._shares.values()),
+            default=float('inf'),
+        )
+
+    def _resize(self):
+        shares = self._shares.values()
+        self._bucket.resize(
+            sum(share.rate_micro for share in shares),
+            sum(share.burst_micro for share in shares),
+        )
--- /dev/null
+++ b/tests/test_rights.py
@@ -0,0 +1,340 @@
+"""Tests of lending and borrowing rights, one lender at a time."""
+
+import unittest
+
+from lavenderstile import messages
+from lavenderstile import models
+from lavenderstile import rights
+
+MICRO = messages.MICRO
+UNIT = messages.SlotUnit('orders', '10.0.0.1:80', 0)
+SHARE = (2 * MICRO, 6 * MICRO)
+# A time at which a lender that started at 0 has a full bucket.
+FULL = 10.0
+
+
+def make_lender(units=frozenset(), start=0.0):
+    lender = rights.Lender('a', start)
+    lender.set_rights({'w': SHARE}, units, start)
+    return lender
+
+
+class Link:
+    """A borrower and a lender joined by calls."""
+
+    def __init__(self, lender, name='b', incarnation=1):
+        self.lender = lender
+        self.lender_incarnation = 1
+        self.borrower = rights.Borrower(name, incarnation)
+        self.owns = True
+
+    def ask(self, now):
+        """Let the lender answer a request that leaves and arrives now."""
+        return self.lender.grant(
+            self.borrower.make_request('a'),
+            frozenset({'w'} if self.owns else ()),
+            frozenset({'orders'} if self.owns else ()),
+            now,
+        )
+
+    def accept(self, grant, sent_at, now):
+        self.borrower.accept('a', self.lender_incarnation, sent_at, grant, now)
+
+    def exchange(self, now):
+        self.accept(self.ask(now), now, now)
+
+    def take_all(self, now):
+        count = 0
+        while self.borrower.take_token('w', now) == messages.Taken():
+            count += 1
+        return count
+
+
+class SharesTest(unittest.TestCase):
+    """Guards against shares that add up to more than the limit."""
+
+    ADDRESSES = tuple(f'127.0.0.{number}' for number in range(1, 49))
+
+    def test_shares_sum_to_at_most_the_limit(self):
+        workspace = models.Workspace('w', (), rate=100.0, burst=50.0)
+        shares = rights.share_rates([workspace], self.ADDRESSES)
+        rate_micro, burst_micro = shares['w']
+        self.assertLessEqual(rate_micro * 48, 100 * MICRO)
+        self.assertGreater((rate_micro + 1) * 48, 100 * MICRO)
+        self.assertLessEqual(burst_micro * 48, 50 * MICRO)
+
+    def test_no_fleet_has_no_shares(self):
+        workspace = models.Workspace('w', (), rate=1.0, burst=1.0)
+        self.assertEqual(rights.share_rates([workspace], ()), {})
+
+    def test_each_unit_has_one_home(self):
+        targets = tuple(
+            models.Target(f'10.0.0.{number}:80', 'd', slots=3)
+            for number in range(12)
+        )
+        service = models.Service('heat-sheets', targets)
+        homes = [
+            rights.home_units(address, [service], self.ADDRESSES)
+            for address in self.ADDRESSES
+        ]
+        self.assertEqual(sum(map(len, homes)), 36)
+        self.assertEqual(len(frozenset().union(*homes)), 36)
+
+
+class QuarantineTest(unittest.TestCase):
+    """Guards against a restarted lender that lends what is still lent."""
+
+    def test_nothing_is_lent_during_the_quarantine(self):
+        link = Link(make_lender(frozenset({UNIT})))
+        link.exchange(3.2)
+        self.assertEqual(link.borrower.workspaces(3.2), frozenset())
+        self.assertEqual(link.borrower.units('orders', 3.2), frozenset())
+
+    def test_bucket_is_empty_after_the_quarantine(self):
+        link = Link(make_lender(frozenset({UNIT})))
+        link.exchange(3.3)
+        self.assertEqual(link.borrower.workspaces(3.3), {'w'})
+        self.assertEqual(link.borrower.units('orders', 3.3), {UNIT})
+        self.assertEqual(link.take_all(3.3), 0)
+
+
+class TokensTest(unittest.TestCase):
+    """Guards against tokens that are counted twice."""
+
+    def test_tokens_move_with_the_lease(self):
+        link = Link(make_lender())
+        link.exchange(FULL)
+        self.assertEqual(link.take_all(FULL), 6)
+        self.assertEqual(link.take_all(FULL + 1), 2)
+
+    def test_repeated_grant_moves_no_tokens_again(self):
+        link = Link(make_lender())
+        grant = link.ask(FULL)
+        for _ in range(3):
+            link.accept(grant, FULL, FULL)
+        self.assertEqual(link.take_all(FULL), 6)
+        link.accept(grant, FULL, FULL)
+        self.assertEqual(link.take_all(FULL), 0)
+
+    def test_tokens_of_a_lost_reply_come_with_the_next(self):
+        link = Link(make_lender())
+        link.ask(FULL)
+        link.exchange(FULL + 1)
+        self.assertEqual(link.take_all(FULL + 1), 6)
+
+    def test_lease_revived_at_the_borrower_brings_no_tokens(self):
+        # The borrower's lease ends at 13; the lender has answered a request
+        # at 12 whose reply was lost, and so has kept the lease.
+        link = Link(make_lender())
+        link.exchange(FULL)
+        self.assertEqual(link.take_all(FULL), 6)
+        link.ask(FULL + 2)
+        self.assertEqual(link.take_all(FULL + 4), 0)
+        self.assertEqual(link.borrower.workspaces(FULL + 4), frozenset())
+        link.exchange(FULL + 4)
+        self.assertEqual(link.borrower.workspaces(FULL + 4), {'w'})
+        self.assertEqual(link.take_all(FULL + 4), 0)
+
+    def test_lender_starts_at_zero_after_an_ended_lease(self):
+        lender = make_lender()
+        Link(lender).exchange(FULL)
+        successor = Link(lender, 'c')
+        successor.exchange(FULL + 3.3)
+        self.assertEqual(successor.borrower.workspaces(FULL + 3.3), {'w'})
+        self.assertEqual(successor.take_all(FULL + 3.3), 0)
+
+    def test_returned_tokens_are_lent_again(self):
+        lender = make_lender()
+        link = Link(lender)
+        link.exchange(FULL)
+        link.borrower.take_token('w', FULL)
+        returns = link.borrower.make_returns(FULL)
+        self.assertEqual(link.take_all(FULL), 0)
+        lender.take_back(returns['a'], FULL)
+        successor = Link(lender, 'c')
+        successor.exchange(FULL)
+        self.assertEqual(successor.take_all(FULL), 5)
+
+    def test_repeated_return_changes_nothing(self):
+        lender = make_lender()
+        link = Link(lender)
+        link.exchange(FULL)
+        returns = link.borrower.make_returns(FULL)
+        lender.take_back(returns['a'], FULL)
+        successor = Link(lender, 'c')
+        successor.exchange(FULL)
+        lender.take_back(returns['a'], FULL)
+        third = Link(lender, 'd')
+        third.exchange(FULL)
+        self.assertEqual(third.borrower.workspaces(FULL), frozenset())
+
+    def test_grant_that_arrives_after_the_return_is_ignored(self):
+        link = Link(make_lender())
+        grant = link.ask(FULL)
+        link.exchange(FULL)
+        link.borrower.make_returns(FULL)
+        link.accept(grant, FULL, FULL)
+        self.assertEqual(link.take_all(FULL), 0)
+        self.assertEqual(link.borrower.workspaces(FULL), frozenset())
+
+
+class LeaseTest(unittest.TestCase):
+    """Guards against rights that are usable at two hosts."""
+
+    def setUp(self):
+        self.lender = make_lender(frozenset({UNIT}))
+        self.link = Link(self.lender)
+
+    def units(self, now, link=None):
+        return (link or self.link).borrower.units('orders', now)
+
+    def test_borrower_counts_from_the_send(self):
+        grant = self.link.ask(FULL + 1)
+        self.link.accept(grant, FULL, FULL + 2)
+        self.assertEqual(self.units(FULL + 2.9), {UNIT})
+        self.assertEqual(self.units(FULL + 3), frozenset())
+
+    def test_grant_that_is_too_late_is_ignored(self):
+        self.link.accept(self.link.ask(FULL), FULL, FULL + 3)
+        self.assertEqual(self.units(FULL + 3), frozenset())
+        self.assertEqual(self.link.take_all(FULL + 3), 0)
+
+    def test_paused_borrower_wakes_without_rights(self):
+        self.link.exchange(FULL)
+        self.assertEqual(self.link.take_all(FULL + 60), 0)
+        self.assertEqual(self.units(FULL + 60), frozenset())
+        self.assertEqual(self.link.borrower.services(FULL + 60), frozenset())
+
+    def test_unchanged_items_are_not_sent_again(self):
+        self.link.exchange(FULL)
+        self.assertIsNone(self.link.ask(FULL + 1).items)
+
+    def test_next_owner_waits_for_the_acknowledgement(self):
+        self.link.exchange(FULL)
+        successor = Link(self.lender, 'c')
+        self.link.owns = False
+        grant = self.link.ask(FULL + 1)
+        successor.exchange(FULL + 1)
+        self.assertEqual(self.units(FULL + 1, successor), frozenset())
+        self.link.accept(grant, FULL + 1, FULL + 1)
+        self.assertEqual(self.units(FULL + 1), frozenset())
+        successor.exchange(FULL + 1.5)
+        self.assertEqual(self.units(FULL + 1.5, successor), frozenset())
+        self.link.exchange(FULL + 2)
+        successor.exchange(FULL + 2)
+        self.assertEqual(self.units(FULL + 2, successor), {UNIT})
+
+    def test_next_owner_waits_for_the_hold_time(self):
+        self.link.exchange(FULL)
+        successor = Link(self.lender, 'c')
+        successor.exchange(FULL + 3.2)
+        self.assertEqual(self.units(FULL + 3.2, successor), frozenset())
+        successor.exchange(FULL + 3.3)
+        self.assertEqual(self.units(FULL + 3.3, successor), {UNIT})
+
+    def test_older_version_is_ignored_after_the_lease_ended(self):
+        # The request at 12 overtakes the one at 11, so the lender's answer
+        # to it is the older version. It arrives after the newer one, which
+        # took the unit away, was acknowledged and has ended.
+        self.link.exchange(FULL)
+        late = self.link.ask(FULL + 2)
+        self.link.owns = False
+        grant = self.link.ask(FULL + 2)
+        self.link.accept(grant, FULL + 1, FULL + 2)
+        self.link.ask(FULL + 2.5)
+        successor = Link(self.lender, 'c')
+        successor.exchange(FULL + 4.5)
+        self.assertEqual(self.units(FULL + 4.5, successor), {UNIT})
+        self.link.accept(late, FULL + 2, FULL + 4.5)
+        self.assertEqual(self.units(FULL + 4.5), frozenset())
+
+    def test_new_incarnation_does_not_end_the_old_lease(self):
+        # The old process may only be paused.
+        self.link.exchange(FULL)
+        restarted = Link(self.lender, incarnation=2)
+        restarted.exchange(FULL + 1)
+        self.assertEqual(self.units(FULL + 1, restarted), frozenset())
+        restarted.exchange(FULL + 3.3)
+        self.assertEqual(self.units(FULL + 3.3, restarted), {UNIT})
+
+    def test_old_incarnation_gets_nothing(self):
+        old = Link(self.lender, incarnation=1)
+        Link(self.lender, incarnation=2).exchange(FULL)
+        self.assertEqual(old.ask(FULL), rights.NO_GRANT)
+        old.exchange(FULL)
+        self.assertEqual(self.units(FULL, old), frozenset())
+
+    def test_late_return_does_not_end_a_restarted_lenders_lease(self):
+        self.link.exchange(FULL)
+        rights_return = self.link.borrower.make_returns(FULL)['a']
+        lender = make_lender(frozenset({UNIT}), start=FULL)
+        link = Link(lender)
+        link.lender_incarnation = 2
+        link.exchange(FULL + 4)
+        self.assertEqual(self.units(FULL + 4, link), {UNIT})
+        lender.take_back(rights_return, FULL + 4)
+        successor = Link(lender, 'c')
+        successor.exchange(FULL + 4)
+        self.assertEqual(self.units(FULL + 4, successor), frozenset())
+
+    def test_grant_of_an_older_lender_process_is_ignored(self):
+        grant = self.link.ask(FULL)
+        lender = make_lender(frozenset({UNIT}), start=FULL)
+        self.link.lender = lender
+        self.link.lender_incarnation = 2
+        self.link.exchange(FULL)
+        self.link.lender_incarnation = 1
+        self.link.accept(grant, FULL, FULL + 1)
+        self.assertEqual(self.units(FULL + 1), frozenset())
+
+
+class ShareChangeTest(unittest.TestCase):
+    """Guards against limits exceeded while a change spreads."""
+
+    def setUp(self):
+        self.lender = make_lender(frozenset({UNIT}))
+        self.link = Link(self.lender)
+        self.link.exchange(FULL)
+
+    def test_smaller_share_applies_at_once(self):
+        smaller = {'w': (MICRO, 2 * MICRO)}
+        self.lender.set_rights(smaller, frozenset(), FULL + 1)
+        self.link.exchange(FULL + 1)
+        self.assertEqual(self.link.take_all(FULL + 1), 2)
+        self.assertEqual(
+            self.link.borrower.units('orders', FULL + 1), frozenset()
+        )
+
+    def test_larger_share_applies_after_the_delay(self):
+        larger = {'w': (4 * MICRO, 12 * MICRO)}
+        other = messages.SlotUnit('orders', '10.0.0.1:80', 1)
+        at = FULL + 1 + rights.GROWTH_DELAY_S
+        self.lender.set_rights(larger, frozenset({UNIT, other}), FULL + 1)
+        for second in range(1, 6):
+            self.link.exchange(FULL + second)
+        self.link.exchange(at - 0.1)
+        self.assertEqual(self.link.take_all(at - 0.1), 6)
+        self.assertEqual(self.link.borrower.units('orders', at - 0.1), {UNIT})
+        self.link.exchange(at)
+        self.assertEqual(self.link.borrower.units('orders', at), {UNIT, other})
+        self.assertEqual(self.link.take_all(at + 1), 4)
+
+    def test_repeated_settings_do_not_postpone_growth(self):
+        larger = {'w': (4 * MICRO, 12 * MICRO)}
+        at = FULL + 1 + rights.GROWTH_DELAY_S
+        for second in range(1, 6):
+            now = FULL + second
+            self.lender.set_rights(larger, frozenset({UNIT}), now)
+            self.link.exchange(now)
+        self.link.exchange(at)
+        self.link.take_all(at)
+        self.assertEqual(self.link.take_all(at + 1), 4)
+
+    def test_removed_workspace_leaves_no_state(self):
+        self.lender.set_rights({}, frozenset(), FULL + 1)
+        self.link.exchange(FULL + 1)
+        self.link.exchange(FULL + 2)
+        self.link.exchange(FULL + 3)
+        self.assertEqual(self.lender.dump(FULL + 3)['rates'], {})
+        self.assertEqual(self.lender.dump(FULL + 3)['units'], [])
+        self.assertEqual(self.link.borrower.dump(FULL + 3)['pools'], {})
