Add admission of requests to the slots of a service

Entry hosts need one place that decides which request runs on which target: a service can have fewer slots than the fleet has hosts.

ServiceAdmission grants the slot units that its owner may use, to the target with the most free ones. The queue gives each workspace one turn and refuses what cannot be reached before its deadline. A request that crashed a target runs alone until it is answered, and is refused after a second target.

One workspace at 5 times the load of 7 others, at 75% of their sum: the others wait for at most 1 tick with turns; with one lane in order of arrival the worst of them waits over 5 ticks and some requests are shed (tests/test_queueing.py, FairnessTest).

--- /dev/null
+++ b/lavenderstile/admission.py
@@ -0,0 +1,447 @@
+"""Admission of requests to the slots of a service's targets."""
+
+import uuid
+
+from . import crashes
+from . import messages
+from . import placement
+from . import queueing
+from . import retries
+from . import slots
+from . import targets
+from . import verdicts
+
+# A new owner waits for one exchange, in which the hosts report the grants
+# of its predecessor.
+SETTLE_S = 1.0
+# Requests wait at most this long while the owner holds no usable slot; the
+# units of a dead owner return after its leases (3.3 s).
+NO_CAPACITY_WAIT_S = 4.0
+SHED_INTERVAL_S = 0.2
+# Weight of the last hold in the mean time that a grant holds its unit.
+HOLD_WEIGHT = 0.05
+
+
+class ServiceAdmission:
+    """The owner's decisions on one service."""
+
+    __slots__ = (
+        '_configured',
+        '_counter',
+        '_crashes',
+        '_decisions',
+        '_dirty',
+        '_empty_since',
+        '_events',
+        '_hold_s',
+        '_name',
+        '_next_shed',
+        '_owner_id',
+        '_placement',
+        '_queue',
+        '_retries',
+        '_service',
+        '_settle_until',
+        '_states',
+        '_table',
+    )
+
+    def __init__(self, service_name, now, owner_id=None):
+        self._name = service_name
+        # Two owners during a partition must not give out the same ids.
+        self._owner_id = owner_id or uuid.uuid4().hex[:12]
+        self._counter = 0
+        self._service = None
+        self._states = {}
+        self._table = slots.SlotTable()
+        self._queue = queueing.FairQueue()
+        self._crashes = crashes.CrashRegister()
+        self._retries = retries.RetryBudget()
+        self._placement = placement.Placement(
+            self._states, self._table, self._is_avoided
+        )
+        self._decisions = []
+        self._events = []
+        self._dirty = False
+        # When the owner ran out of usable slots, or None.
+        self._empty_since = None
+        self._hold_s = None
+        self._next_shed = now
+        self._settle_until = now + SETTLE_S
+
+    @property
+    def settle_until(self):
+        """Time until which a new owner grants nothing."""
+        return self._settle_until
+
+    def settle(self, now):
+        """Begin anew as an owner that does not know the running grants."""
+        self._settle_until = now + SETTLE_S
+
+    def configure(self, service, domains_out, now):
+        """Apply the service's configuration and the domains' states."""
+        first = self._service is None
+        self._service = service
+        addresses = {target.address for target in service.targets}
+        for address in list(self._states):
+            if address not in addresses:
+                del self._states[address]
+        for target in service.targets:
+            in_service = target.domain not in domains_out
+            state = self._states.get(target.address)
+            if state is None:
+                state = targets.TargetState(target, in_service)
+                self._states[target.address] = state
+                if not first:
+                    state.cold.restart('new target')
+                continue
+            was_open = state.open
+            state.target = target
+            state.domain_in_service = in_service
+            state.cold.configure(target.slots)
+            if state.open and not was_open:
+                state.cold.restart('back in service')
+        self._dirty = True
+
+    def set_units(self, units, now):
+        """Replace the slot units that this owner may use."""
+        self._table.set_units(
+            unit for unit in units if unit.service == self._name
+        )
+        self._dirty = True
+
+    def request(self, request, now):
+        """Decide on a request: a grant, a place in the queue or a refusal."""
+        refusal = self._refuse_early(request, now)
+        if refusal is not None:
+            return refusal
+        if not len(self._queue) and now >= self._settle_until:
+            grant = self._place(request, now)
+            if grant is not None:
+                return grant
+        if request.request_id in self._queue:
+            return messages.Queued(request.request_id)
+        refusal = self._queue.push(request, now, self._pace_s())
+        if refusal is not None:
+            return refusal
+        self._dirty = True
+        return messages.Queued(request.request_id)
+
+    def poll(self, now):
+        """Return the decisions on queued requests that are due."""
+        if self._table.end_lost(now):
+            self._dirty = True
+        if now >= self._next_shed:
+            self._next_shed = now + SHED_INTERVAL_S
+            self._shed(now)
+        if now >= self._settle_until:
+            self._grant_queued(now)
+        self._dirty = False
+        decisions, self._decisions = self._decisions, []
+        return decisions
+
+    def next_poll(self, now):
+        """Return when the next poll is due, or None without a plan."""
+        if self._dirty or self._decisions:
+            return now
+        times = []
+        end = self._table.next_end()
+        if end is not None:
+            times.append(end)
+        if len(self._queue):
+            times.append(max(self._next_shed, now))
+            if self._settle_until > now:
+                times.append(self._settle_until)
+        return min(times, default=None)
+
+    def cancel(self, request_id, now):
+        """Take a request out of the queue; return whether it waited."""
+        return self._queue.remove(request_id) is not None
+
+    def release(self, report, now):
+        """Take a slot back and record how the attempt went."""
+        holder, repeated = self._table.release(report.grant_id, now)
+        if holder is not None:
+            self._record_hold(now - holder.granted_at)
+            self._dirty = True
+        if not repeated:
+            self._record(report, holder, now)
+
+    def adopt(self, host, running, now):
+        """Take over the complete list of grants that a host uses."""
+        own = [grant for grant in running if grant.unit.service == self._name]
+        if self._table.adopt(host, own, now):
+            self._dirty = True
+
+    def host_lost(self, host, now):
+        """Plan the end of the grants of a host that is gone."""
+        self._table.lose_host(host, now)
+        for request in self._queue.requests:
+            if request.host == host:
+                self._queue.remove(request.request_id)
+                self._refuse(
+                    request.request_id,
+                    verdicts.Reason.OWNER_UNREACHABLE,
+                    f'the owner has lost contact with host {host}',
+                )
+
+    def hint(self, hint, now):
+        """Take what a target's health and load endpoints say."""
+        state = self._states.get(hint.target)
+        if state is None:
+            return
+        state.healthy = hint.healthy
+        state.draining = hint.draining
+        state.hint_at = now
+        state.hinted_running = hint.running
+        self._note_instance(state, hint.instance)
+        state.cold.record_announcement(hint.cold)
+
+    def evaluate(self, now):
+        """Review the targets; return the changes of state as events."""
+        events, self._events = self._events, []
+        return events
+
+    def summary(self, now):
+        """Return what a successor needs."""
+        return messages.ServiceSummary(
+            self._name, (), self._crashes.notes(self._name, now)
+        )
+
+    def inherit(self, summary, now, running=None):
+        """Take over a predecessor's state.
+
+        With `running`, the predecessor's complete list of grants, the new
+        owner need not wait for the hosts' reports.
+        """
+        for note in summary.crashes:
+            self._crashes.merge(note, now)
+        if running is None:
+            return
+        for host in {grant.host for grant in running}:
+            own = [grant for grant in running if grant.host == host]
+            self.adopt(host, own, now)
+        self._settle_until = now
+        self._dirty = True
+
+    def drop_evidence(self, now):
+        """Forget evidence that spans a pause of this process."""
+        for state in self._states.values():
+            state.cold.drop_progress()
+            state.refused = False
+
+    def dump(self, now):
+        """Return the whole state for operators."""
+        return {
+            'service': self._name,
+            'settling_s': max(0.0, self._settle_until - now),
+            'queued': self._queue.lengths,
+            'hold_s': self._hold_s,
+            'retry_tokens': self._retries.tokens,
+            'targets': {
+                address: self._dump_target(state)
+                for address, state in self._states.items()
+            },
+        }
+
+    def explain_target(self, address, now):
+        """Return sentences on a target's state and its causes."""
+        state = self._states.get(address)
+        if state is None:
+            return [f'{address} is not a target of service {self._name}.']
+        lines = []
+        if not state.domain_in_service:
+            lines.append(
+                f'Failure domain {state.target.domain} is out of service, '
+                'so the target gets no new requests.'
+            )
+        if state.target.leaving:
+            lines.append('The target is leaving and gets no new requests.')
+        if state.cold.ramping:
+            lines.append(
+                f'The target is in cold start ({state.cold.reason}): at most '
+                f'{state.cold.limit()} requests at once.'
+            )
+        if not lines:
+            lines.append('The target is in service.')
+        held = len(self._table.units(address))
+        running = self._table.running(address)
+        lines.append(f'{running} requests run on {held} usable slots.')
+        return lines
+
+    def _dump_target(self, state):
+        return {
+            'domain': state.target.domain,
+            'open': state.open,
+            'ejected': state.ejected,
+            'trial': state.trial,
+            'limit': state.cold.limit(),
+            'units': [u.index for u in self._table.units(state.address)],
+            'running': self._table.running(state.address),
+            'instance': state.instance,
+        }
+
+    def _refuse_early(self, request, now):
+        if self._service is None:
+            return verdicts.Refusal(
+                verdicts.Reason.SERVICE_UNKNOWN,
+                f'service {self._name} is not configured here',
+            )
+        if self._crashes.is_blocked(request.digest, now):
+            return self._refuse_crashing(request, now)
+        if request.attempt <= 1:
+            self._retries.record_request()
+        elif not self._retries.take():
+            return verdicts.Refusal(
+                verdicts.Reason.NO_CAPACITY,
+                f'the retry budget of service {self._name} is used up',
+            )
+        if not any(state.open for state in self._states.values()):
+            return verdicts.Refusal(
+                verdicts.Reason.NO_CAPACITY,
+                f'no target of service {self._name} is in service',
+                retry_after_s=1.0,
+            )
+        if self._is_empty(now):
+            return self._refuse_empty()
+        return None
+
+    def _is_empty(self, now):
+        """Return whether the owner has had no usable slot for too long."""
+        if self._capacity():
+            self._empty_since = None
+            return False
+        if self._empty_since is None:
+            self._empty_since = now
+        return now - self._empty_since >= NO_CAPACITY_WAIT_S
+
+    def _refuse_empty(self):
+        return verdicts.Refusal(
+            verdicts.Reason.NO_CAPACITY,
+            f'this owner holds no usable slot of service {self._name}',
+            retry_after_s=1.0,
+        )
+
+    def _refuse_crashing(self, request, now):
+        crashed = self._crashes.crashed_targets(request.digest, now)
+        return verdicts.Refusal(
+            verdicts.Reason.CRASHES_TARGETS,
+            f'requests like this one crashed {len(crashed)} targets',
+        )
+
+    def _place(self, request, now):
+        """Return a grant for the request, or None if nothing is free."""
+        suspect = None
+        if self._crashes.is_suspect(request.digest, now):
+            suspect = self._crashes.crashed_targets(request.digest, now)
+        chosen = self._placement.choose(request, suspect, now)
+        if chosen is None:
+            return None
+        state, unit = chosen
+        self._counter += 1
+        state.last_grant = self._counter
+        holder = slots.Holder(
+            f'{self._owner_id}-{self._counter}', request.host, unit, now
+        )
+        holder.request_id = request.request_id
+        holder.digest = request.digest
+        holder.trial = state.trial
+        holder.isolated = suspect is not None
+        holder.step = state.cold.step
+        self._table.take(holder)
+        return messages.Grant(
+            holder.grant_id,
+            request.request_id,
+            unit,
+            state.target.domain,
+            holder.trial,
+        )
+
+    def _grant_queued(self, now):
+        def place(request):
+            if self._crashes.is_blocked(request.digest, now):
+                return messages.Decision(
+                    request.request_id, self._refuse_crashing(request, now)
+                )
+            if request.deadline <= now:
+                return messages.Decision(
+                    request.request_id,
+                    verdicts.Refusal(
+                        verdicts.Reason.QUEUE_DEADLINE,
+                        'the deadline passed in the queue',
+                    ),
+                )
+            grant = self._place(request, now)
+            if grant is None:
+                return None
+            return messages.Decision(request.request_id, grant)
+
+        while len(self._queue):
+            decision = self._queue.pop(place)
+            if decision is None:
+                break
+            self._decisions.append(decision)
+
+    def _shed(self, now):
+        if self._is_empty(now):
+            for request in self._queue.requests:
+                self._queue.remove(request.request_id)
+                self._decisions.append(
+                    messages.Decision(request.request_id, self._refuse_empty())
+                )
+        for shed in self._queue.expire(now, self._pace_s()):
+            self._decisions.append(
+                messages.Decision(shed.request_id, shed.refusal)
+            )
+
+    def _refuse(self, request_id, reason, detail):
+        self._decisions.append(
+            messages.Decision(request_id, verdicts.Refusal(reason, detail))
+        )
+
+    def _capacity(self):
+        return sum(
+            state.capacity(self._table) for state in self._states.values()
+        )
+
+    def _pace_s(self):
+        """Return the expected time between two grants, or None."""
+        capacity = self._capacity()
+        if not capacity or self._hold_s is None:
+            return None
+        return self._hold_s / capacity
+
+    def _record_hold(self, hold_s):
+        if self._hold_s is None:
+            self._hold_s = hold_s
+        else:
+            self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
+
+    def _record(self, report, holder, now):
+        state = self._states.get(report.unit.target)
+        if state is None:
+            return
+        outcome = report.outcome
+        if outcome is messages.Outcome.CRASHED:
+            granted_at = None if holder is None else holder.granted_at
+            self._crashes.record(
+                report.digest, report.unit.target, now, granted_at
+            )
+        elif outcome is messages.Outcome.ANSWERED:
+            self._crashes.clear(report.digest)
+        self._note_instance(state, report.instance)
+        state.cold.record_announcement(report.cold)
+        if outcome is messages.Outcome.ANSWERED and holder is not None:
+            state.cold.record_good(holder.step)
+        elif outcome is messages.Outcome.SHED:
+            state.cold.restart('shed load')
+
+    def _note_instance(self, state, instance):
+        if not instance:
+            return
+        if state.instance and state.instance != instance:
+            state.cold.restart('instance changed')
+        state.instance = instance
+
+    def _is_avoided(self, host, target):
+        return False
--- /dev/null
+++ b/lavenderstile/crashes.py
@@ -0,0 +1,126 @@
+"""Register of requests that crash the targets that run them."""
+
+import collections
+
+from . import messages
+
+MEMORY_S = 600.0
+MAX_DIGESTS = 4096
+BLOCKING_TARGETS = 2
+# A service with a single target gives no second target to crash.
+BLOCKING_REPEATS = 3
+
+
+class CrashRecord:
+    """Targets on which runs of a digest ended in a crash."""
+
+    __slots__ = ('count', 'first_at', 'last_at', 'targets')
+
+    def __init__(self, target, now):
+        self.first_at = now
+        self.last_at = now
+        self.targets = [target]
+        self.count = 1
+
+    @property
+    def blocking(self):
+        """Whether the crashes are enough to refuse the digest."""
+        return (
+            len(self.targets) >= BLOCKING_TARGETS
+            or self.count >= BLOCKING_REPEATS
+        )
+
+
+class CrashRegister:
+    """Digests under suspicion of crashing targets.
+
+    A crash of a target is seen by every request that runs there, so a
+    first crash only makes a digest suspect. Admission runs one request of
+    a suspect digest at a time, and no other suspect with it. A crash of
+    such a run on a different target blocks the digest. Crashes of runs
+    that were granted before the suspicion do not count again: when a rack
+    fails, a popular request crashes on several targets at once. An answer
+    clears the digest, since a poisonous one crashes each target.
+    """
+
+    __slots__ = ('_records',)
+
+    def __init__(self):
+        self._records = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._records)
+
+    def record(self, digest, target, now, granted_at=None):
+        """Record a crash; return whether the digest is blocked now.
+
+        `granted_at` is the time of the run's grant; None means that the
+        run began after all recorded crashes.
+        """
+        known = self._find(digest, now)
+        if known is None:
+            self._add(digest, CrashRecord(target, now))
+            return False
+        if granted_at is None or granted_at >= known.first_at:
+            known.count += 1
+            known.last_at = now
+            if target not in known.targets:
+                known.targets.append(target)
+        return known.blocking
+
+    def clear(self, digest):
+        """Forget a digest that was answered and is not blocked yet."""
+        known = self._records.get(digest)
+        if known is not None and not known.blocking:
+            del self._records[digest]
+
+    def is_suspect(self, digest, now):
+        """Return whether a run of the digest has crashed a target."""
+        return self._find(digest, now) is not None
+
+    def is_blocked(self, digest, now):
+        """Return whether requests with the digest are refused."""
+        known = self._find(digest, now)
+        return known is not None and known.blocking
+
+    def crashed_targets(self, digest, now):
+        """Return the targets that count against the digest."""
+        known = self._find(digest, now)
+        return () if known is None else tuple(known.targets)
+
+    def merge(self, note, now):
+        """Take over another owner's record of a digest."""
+        seen_at = now - note.age_s
+        if note.age_s >= MEMORY_S or not note.targets:
+            return
+        known = self._find(note.digest, now)
+        if known is None:
+            known = CrashRecord(note.targets[0], seen_at)
+            self._add(note.digest, known)
+        known.first_at = min(known.first_at, seen_at)
+        known.last_at = max(known.last_at, seen_at)
+        for target in note.targets:
+            if target not in known.targets:
+                known.targets.append(target)
+
+    def notes(self, service, now):
+        """Return the register as notes for peers."""
+        return tuple(
+            messages.CrashNote(
+                service, digest, tuple(known.targets), now - known.last_at
+            )
+            for digest, known in self._records.items()
+            if now - known.last_at < MEMORY_S
+        )
+
+    def _add(self, digest, record):
+        while len(self._records) >= MAX_DIGESTS:
+            self._records.popitem(last=False)
+        self._records[digest] = record
+
+    def _find(self, digest, now):
+        known = self._records.get(digest)
+        if known is not None and now - known.last_at >= MEMORY_S:
+            del self._records[digest]
+            return None
+        return known
--- /dev/null
+++ b/lavenderstile/queueing.py
@@ -0,0 +1,153 @@
+"""Queue that is fair by workspace and bounded by the deadline."""
+
+import collections
+import dataclasses
+
+from . import verdicts
+
+# Entries per workspace that are tried when the first one cannot run on any
+# free target; bounds the work of one turn.
+LOOKAHEAD = 8
+# Bounds memory while no service time is known or no slot is held.
+MAX_ENTRIES = 10_000
+MIN_RETRY_AFTER_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shed:
+    """A queued request whose deadline cannot be met."""
+
+    request_id: str
+    refusal: verdicts.Refusal
+
+
+class FairQueue:
+    """Waiting requests; the workspaces take turns.
+
+    Each workspace has a lane in order of arrival. A workspace that starts
+    to wait joins the turn order at its end, so that it waits for at most
+    one turn of each other workspace, whatever their load.
+    """
+
+    __slots__ = ('_lanes', '_workspaces')
+
+    def __init__(self):
+        # Lanes in the order of their next turn.
+        self._lanes = collections.OrderedDict()
+        self._workspaces = {}
+
+    def __len__(self):
+        return len(self._workspaces)
+
+    def __contains__(self, request_id):
+        return request_id in self._workspaces
+
+    @property
+    def lengths(self):
+        """Number of waiting requests by workspace."""
+        return {name: len(lane) for name, lane in self._lanes.items()}
+
+    @property
+    def requests(self):
+        """All waiting requests, workspace by workspace."""
+        return [
+            request
+            for lane in self._lanes.values()
+            for request in lane.values()
+        ]
+
+    def push(self, request, now, pace_s):
+        """Queue a request, or return the refusal if it cannot be met.
+
+        `pace_s` is the expected time between two grants; None means that
+        it is unknown, and only the deadline itself bounds the wait.
+        """
+        if len(self) >= MAX_ENTRIES:
+            return _refuse_deadline(pace_s or MIN_RETRY_AFTER_S, 'full')
+        position = len(self._lanes.get(request.workspace, ()))
+        wait_s = self._estimate_wait(request.workspace, position, pace_s)
+        late_s = wait_s - (request.deadline - now)
+        if late_s >= 0:
+            return _refuse_deadline(late_s, f'wait of {wait_s:.3f} s')
+        lane = self._lanes.setdefault(
+            request.workspace, collections.OrderedDict()
+        )
+        lane[request.request_id] = request
+        self._workspaces[request.request_id] = request.workspace
+        return None
+
+    def pop(self, place):
+        """Give the next turn and return what `place` returned, or None.
+
+        `place(request)` returns None if the request cannot run now. The
+        first workspace with a request that can run loses its turn.
+        """
+        for workspace, lane in self._lanes.items():
+            for tried, request in enumerate(lane.values()):
+                if tried == LOOKAHEAD:
+                    break
+                placed = place(request)
+                if placed is not None:
+                    self.remove(request.request_id)
+                    if workspace in self._lanes:
+                        self._lanes.move_to_end(workspace)
+                    return placed
+        return None
+
+    def remove(self, request_id):
+        """Take a request out; return it, or None if it does not wait."""
+        workspace = self._workspaces.pop(request_id, None)
+        if workspace is None:
+            return None
+        lane = self._lanes[workspace]
+        request = lane.pop(request_id)
+        if not lane:
+            del self._lanes[workspace]
+        return request
+
+    def expire(self, now, pace_s):
+        """Remove and return the requests that cannot meet their deadline.
+
+        A later arrival of another workspace, or a slower service, makes
+        the wait longer than estimated when the request was queued.
+        """
+        late = []
+        turn = 1
+        rounds = [iter(lane.values()) for lane in self._lanes.values()]
+        while rounds:
+            remaining = []
+            for requests in rounds:
+                for request in requests:
+                    late_s = now + turn * (pace_s or 0.0) - request.deadline
+                    if late_s < 0:
+                        turn += 1
+                        remaining.append(requests)
+                        break
+                    late.append((request.request_id, late_s))
+            rounds = remaining
+        return [self._shed(request_id, late_s) for request_id, late_s in late]
+
+    def _shed(self, request_id, late_s):
+        self.remove(request_id)
+        return Shed(request_id, _refuse_deadline(late_s, 'the queue is slow'))
+
+    def _estimate_wait(self, workspace, position, pace_s):
+        """Return the expected wait behind `position` entries of the lane.
+
+        Until its turn, each other lane gets at most as many turns.
+        """
+        if pace_s is None:
+            return 0.0
+        turns = position + 1
+        for name, lane in self._lanes.items():
+            if name != workspace:
+                turns += min(len(lane), position + 1)
+        return turns * pace_s
+
+
+def _refuse_deadline(late_s, detail):
+    return verdicts.Refusal(
+        verdicts.Reason.QUEUE_DEADLINE,
+        f'the queue would not reach the request in time: {detail}',
+        retry_after_s=max(late_s, MIN_RETRY_AFTER_S),
+    )
--- /dev/null
+++ b/lavenderstile/slots.py
@@ -0,0 +1,194 @@
+"""Slot units of a service and the grants that use them."""
+
+import collections
+
+# A grant may be missing from a report that was sent before it arrived.
+GRANT_REPORT_S = 3.0
+MISSING_REPORTS = 2
+# A host that is gone has closed its connections after this time.
+HOST_LOST_S = 3.0
+# Late reports may list a grant, and late releases name it again, for as
+# long as this after its release.
+ENDED_MEMORY_S = 30.0
+MAX_ENDED = 50_000
+
+
+class Holder:
+    """A grant that uses a unit."""
+
+    __slots__ = (
+        'digest',
+        'grant_id',
+        'granted_at',
+        'host',
+        'isolated',
+        'missing',
+        'request_id',
+        'step',
+        'trial',
+        'unit',
+    )
+
+    def __init__(self, grant_id, host, unit, now):
+        self.grant_id = grant_id
+        self.host = host
+        self.unit = unit
+        self.granted_at = now
+        self.request_id = None
+        self.digest = None
+        self.trial = False
+        self.isolated = False
+        self.step = None
+        self.missing = 0
+
+
+class SlotTable:
+    """Which units this owner may use, and which grants use them.
+
+    A unit can have several holders after a succession, when hosts report
+    grants of different owners; it is free again when all have ended.
+    """
+
+    __slots__ = (
+        '_by_host',
+        '_by_target',
+        '_by_unit',
+        '_ended',
+        '_holders',
+        '_lost',
+        '_reported',
+        '_units',
+    )
+
+    def __init__(self):
+        self._units = {}
+        self._holders = {}
+        self._by_unit = collections.defaultdict(set)
+        self._by_target = collections.defaultdict(set)
+        self._by_host = collections.defaultdict(set)
+        self._ended = collections.OrderedDict()
+        self._reported = {}
+        self._lost = {}
+
+    @property
+    def holders(self):
+        """All grants in use, by id."""
+        return self._holders
+
+    def set_units(self, units):
+        """Replace the set of usable units."""
+        by_target = collections.defaultdict(list)
+        for unit in units:
+            by_target[unit.target].append(unit)
+        self._units = {
+            target: sorted(own, key=lambda unit: unit.index)
+            for target, own in by_target.items()
+        }
+
+    def units(self, target):
+        """Return the usable units of a target, by index."""
+        return self._units.get(target, ())
+
+    def free_units(self, target):
+        """Return the usable units of a target that nobody uses."""
+        return [
+            unit for unit in self.units(target) if unit not in self._by_unit
+        ]
+
+    def running(self, target):
+        """Return the number of grants in use on a target."""
+        return len(self._by_target.get(target, ()))
+
+    def holders_on(self, target):
+        """Return the grants in use on a target."""
+        ids = self._by_target.get(target, ())
+        return [self._holders[grant_id] for grant_id in ids]
+
+    def take(self, holder):
+        """Record a grant as the user of its unit."""
+        self._lost.pop(holder.host, None)
+        self._holders[holder.grant_id] = holder
+        self._by_unit[holder.unit].add(holder.grant_id)
+        self._by_target[holder.unit.target].add(holder.grant_id)
+        self._by_host[holder.host].add(holder.grant_id)
+
+    def release(self, grant_id, now):
+        """End a grant; return (holder or None, whether it is a repeat)."""
+        repeated = grant_id in self._ended
+        self._remember_ended(grant_id, now)
+        return self._drop(grant_id), repeated
+
+    def adopt(self, host, running, now):
+        """Take over a host's complete list of grants; return the freed."""
+        self._reported[host] = now
+        self._lost.pop(host, None)
+        listed = {grant.grant_id for grant in running}
+        for grant in running:
+            if grant.grant_id in self._ended:
+                continue
+            known = self._holders.get(grant.grant_id)
+            if known is None:
+                self.take(Holder(grant.grant_id, host, grant.unit, now))
+            else:
+                known.missing = 0
+        return self._drop_missing(host, listed, now)
+
+    def lose_host(self, host, now):
+        """Plan the end of a lost host's grants.
+
+        A grant shows that the host was alive when it asked for it.
+        """
+        seen_at = self._reported.pop(host, 0.0)
+        if host not in self._by_host:
+            return
+        for grant_id in self._by_host[host]:
+            seen_at = max(seen_at, self._holders[grant_id].granted_at)
+        self._lost.setdefault(host, seen_at + HOST_LOST_S)
+
+    def end_lost(self, now):
+        """End the grants of lost hosts that are due; return the freed."""
+        due = [host for host, end in self._lost.items() if end <= now]
+        freed = []
+        for host in due:
+            del self._lost[host]
+            for grant_id in list(self._by_host.get(host, ())):
+                freed.append(self._drop(grant_id))
+        return freed
+
+    def next_end(self):
+        """Return when the next lost host's grants end, or None."""
+        return min(self._lost.values(), default=None)
+
+    def _drop_missing(self, host, listed, now):
+        freed = []
+        for grant_id in list(self._by_host.get(host, ())):
+            holder = self._holders[grant_id]
+            young = now - holder.granted_at <= GRANT_REPORT_S
+            if grant_id in listed or young:
+                continue
+            holder.missing += 1
+            if holder.missing >= MISSING_REPORTS:
+                freed.append(self._drop(grant_id))
+        return freed
+
+    def _drop(self, grant_id):
+        holder = self._holders.pop(grant_id, None)
+        if holder is None:
+            return None
+        for index, key in (
+            (self._by_unit, holder.unit),
+            (self._by_target, holder.unit.target),
+            (self._by_host, holder.host),
+        ):
+            index[key].discard(grant_id)
+            if not index[key]:
+                del index[key]
+        return holder
+
+    def _remember_ended(self, grant_id, now):
+        self._ended.setdefault(grant_id, now)
+        while self._ended:
+            oldest = next(iter(self._ended.values()))
+            if now - oldest < ENDED_MEMORY_S and len(self._ended) < MAX_ENDED:
+                break
+            self._ended.popitem(last=False)
--- /dev/null
+++ b/lavenderstile/targets.py
@@ -0,0 +1,92 @@
+"""State of one target of a service, as its owner sees it."""
+
+from . import coldstart
+
+# An owner without the first unit of a cold target waits this long before
+# it ramps the target with another unit: longer than a dead host's lease,
+# and enough for the other owner of a split pool to get past its first step.
+FIRST_UNIT_WAIT_S = 5.0
+
+
+class TargetState:
+    """What decides whether a target gets a request."""
+
+    __slots__ = (
+        'cold',
+        'domain_in_service',
+        'draining',
+        'ejected',
+        'first_step_since',
+        'healthy',
+        'hint_at',
+        'hinted_running',
+        'instance',
+        'last_grant',
+        'refused',
+        'target',
+        'trial',
+    )
+
+    def __init__(self, target, domain_in_service):
+        self.target = target
+        self.domain_in_service = domain_in_service
+        self.cold = coldstart.ColdStart(target.slots)
+        self.ejected = False
+        self.trial = False
+        self.draining = False
+        self.healthy = True
+        self.hint_at = None
+        self.hinted_running = None
+        self.instance = ''
+        # Set after a refused connection, until the next answer.
+        self.refused = False
+        self.first_step_since = None
+        # Number of the last grant, for turns among equal targets.
+        self.last_grant = 0
+
+    @property
+    def address(self):
+        """The target's address."""
+        return self.target.address
+
+    @property
+    def open(self):
+        """Whether the configuration lets the target get new work."""
+        return self.domain_in_service and not self.target.leaving
+
+    @property
+    def regular(self):
+        """Whether the target gets any kind of request."""
+        return self.open and not self.ejected
+
+    def usable_units(self, table, now):
+        """Return the free units that the ramp lets be used now."""
+        free = [
+            unit
+            for unit in table.free_units(self.address)
+            if unit.index < self.target.slots
+        ]
+        limit = self.cold.limit()
+        if limit is None:
+            return free
+        if self.cold.first_step and not self._may_replace_first(table, now):
+            free = [unit for unit in free if unit.index == 0]
+        room = limit - table.running(self.address)
+        return free[: max(0, room)]
+
+    def capacity(self, table):
+        """Return how many requests this owner may run here at once."""
+        if not self.regular:
+            return 0
+        limit = self.cold.limit()
+        held = len(table.units(self.address))
+        return held if limit is None else min(held, limit)
+
+    def _may_replace_first(self, table, now):
+        held = table.units(self.address)
+        if any(unit.index == 0 for unit in held):
+            self.first_step_since = None
+            return False
+        if self.first_step_since is None:
+            self.first_step_since = now
+        return now - self.first_step_since >= FIRST_UNIT_WAIT_S
--- /dev/null
+++ b/tests/test_queueing.py
@@ -0,0 +1,148 @@
+"""Tests of the fair queue."""
+
+import collections
+import unittest
+
+from lavenderstile import messages
+from lavenderstile import queueing
+from lavenderstile import verdicts
+
+
+def make_request(number, workspace, deadline=100.0):
+    return messages.AdmitRequest(
+        f'r{number}', 'h1', 'orders', workspace, deadline, f'd{number}', True
+    )
+
+
+class ArrivalQueue(queueing.FairQueue):
+    """Weakened variant: one lane for all, in order of arrival."""
+
+    def push(self, request, now, pace_s):
+        merged = messages.AdmitRequest(
+            request.request_id,
+            request.host,
+            request.service,
+            'all',
+            request.deadline,
+            request.workspace,
+            request.idempotent,
+        )
+        return super().push(merged, now, pace_s)
+
+
+class FairnessTest(unittest.TestCase):
+    """Guards against a large workspace that starves the others."""
+
+    def _run(self, queue_class):
+        """One workspace sends 5 requests for each one of 7 others."""
+        queue = queue_class()
+        waits = collections.defaultdict(list)
+        pushed = {}
+        number = 0
+        for tick in range(200):
+            for workspace, count in (('big', 5), *zip('abcdefg', [1] * 7)):
+                for _ in range(count):
+                    number += 1
+                    request = make_request(number, workspace, tick + 20.0)
+                    pushed[request.request_id] = (workspace, tick)
+                    queue.push(request, float(tick), 1 / 9)
+            for _ in range(9):
+                found = queue.pop(lambda request: request)
+                if found is None:
+                    break
+                workspace, since = pushed[found.request_id]
+                waits[workspace].append(tick - since)
+            queue.expire(float(tick), 1 / 9)
+        return waits
+
+    def test_others_are_served_while_one_sends_five_times_its_share(self):
+        waits = self._run(queueing.FairQueue)
+        for workspace in 'abcdefg':
+            self.assertEqual(len(waits[workspace]), 200)
+            self.assertLessEqual(max(waits[workspace]), 1)
+
+    def test_order_of_arrival_makes_the_others_wait(self):
+        waits = self._run(ArrivalQueue)
+        self.assertGreater(max(max(waits[name]) for name in 'abcdefg'), 5)
+        self.assertLess(min(len(waits[name]) for name in 'abcdefg'), 200)
+
+    def test_a_workspace_loses_its_turn_by_a_grant(self):
+        queue = queueing.FairQueue()
+        for number, workspace in enumerate(('a', 'a', 'a', 'b', 'c')):
+            queue.push(make_request(number, workspace), 0.0, 0.1)
+        order = [
+            queue.pop(lambda request: request).workspace for _ in range(5)
+        ]
+        self.assertEqual(order, ['a', 'b', 'c', 'a', 'a'])
+
+    def test_a_request_that_cannot_run_does_not_block_others(self):
+        queue = queueing.FairQueue()
+        for number, workspace in enumerate(('a', 'a', 'b')):
+            queue.push(make_request(number, workspace), 0.0, 0.1)
+        found = queue.pop(
+            lambda request: None if request.request_id == 'r0' else request
+        )
+        self.assertEqual(found.request_id, 'r1')
+        self.assertIn('r0', queue)
+
+
+class DeadlineTest(unittest.TestCase):
+    """Guards against requests that wait although they come too late."""
+
+    def test_refuses_at_once_what_cannot_be_met(self):
+        queue = queueing.FairQueue()
+        for number in range(10):
+            self.assertIsNone(
+                queue.push(make_request(number, 'a', 2.0), 0.0, 0.1)
+            )
+        refusal = queue.push(make_request(10, 'a', 1.0), 0.0, 0.1)
+        self.assertIs(refusal.reason, verdicts.Reason.QUEUE_DEADLINE)
+        self.assertIs(refusal.verdict, verdicts.Verdict.NOT_RUN)
+        self.assertAlmostEqual(refusal.retry_after_s, 0.1)
+
+    def test_other_workspaces_wait_only_for_their_turn(self):
+        queue = queueing.FairQueue()
+        for number in range(100):
+            queue.push(make_request(number, 'big', 50.0), 0.0, 0.1)
+        self.assertIsNone(
+            queue.push(make_request(101, 'small', 0.5), 0.0, 0.1)
+        )
+
+    def test_sheds_when_the_service_slows_down(self):
+        queue = queueing.FairQueue()
+        for number in range(10):
+            queue.push(make_request(number, 'a', 1.05), 0.0, 0.1)
+        self.assertEqual(queue.expire(0.0, 0.1), [])
+        shed = queue.expire(0.0, 0.2)
+        self.assertEqual(
+            [item.request_id for item in shed], ['r5', 'r6', 'r7', 'r8', 'r9']
+        )
+        self.assertEqual(len(queue), 5)
+
+    def test_sheds_past_deadlines_without_a_known_pace(self):
+        queue = queueing.FairQueue()
+        queue.push(make_request(1, 'a', 1.0), 0.0, None)
+        queue.push(make_request(2, 'a', 3.0), 0.0, None)
+        self.assertEqual(
+            [item.request_id for item in queue.expire(1.0, None)], ['r1']
+        )
+
+    def test_length_is_bounded(self):
+        queue = queueing.FairQueue()
+        for number in range(queueing.MAX_ENTRIES):
+            queue.push(make_request(number, 'a'), 0.0, None)
+        refusal = queue.push(make_request(-1, 'b'), 0.0, None)
+        self.assertIs(refusal.reason, verdicts.Reason.QUEUE_DEADLINE)
+        self.assertEqual(len(queue), queueing.MAX_ENTRIES)
+
+
+class RemovalTest(unittest.TestCase):
+    """Guards against entries that stay after a cancellation."""
+
+    def test_removes_from_the_middle(self):
+        queue = queueing.FairQueue()
+        for number in range(3):
+            queue.push(make_request(number, 'a'), 0.0, 0.1)
+        self.assertEqual(queue.remove('r1').request_id, 'r1')
+        self.assertIsNone(queue.remove('r1'))
+        self.assertEqual(queue.lengths, {'a': 2})
