Add stand-ins for the platform, targets, callers and fleets

Cause: the daemon can be tested only against something that behaves like the platform and the targets, gray failures included.

Change: tests/standins/ has an ASGI platform (values, watches, host list, controls), a target (slots, cold start, shedding, gray modes, records of its runs), a load tool and a fleet of processes on loopback addresses.

--- /dev/null
+++ b/tests/standins/target_state.py
@@ -0,0 +1,209 @@
+"""What a stand-in target bears, does and records."""
+
+import asyncio
+import collections
+import random
+import time
+
+import msgspec
+
+# Runs that are kept for assertions.
+RUNS_LIMIT = 100_000
+
+
+class Behaviour(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """How the target behaves; every field can be changed at run time.
+
+    Shares are probabilities per request, drawn from the seeded generator.
+    """
+
+    slots: int = 3
+    connections: int = 400
+    work_s: float = 0.0
+    cold_answers: int = 20
+    cold_s: float = 30.0
+    falls_over: bool = False
+    draining: bool = False
+    error_share: float = 0.0
+    slow_share: float = 0.0
+    slow_s: float = 1.0
+    truncated_share: float = 0.0
+    truncated_chunked_share: float = 0.0
+    unframed_share: float = 0.0
+    crossed_share: float = 0.0
+    stalled_share: float = 0.0
+    stalled_body_share: float = 0.0
+    crash_marker: str = ''
+    hint_lag_s: float = 0.0
+    health_lie: str = ''
+    running_lie: int | None = None
+
+
+class Run(msgspec.Struct, kw_only=True):
+    """One request that the target accepted for work.
+
+    `end` is empty until the run ends; then it is one of `answered`,
+    `error`, `broken_request`, `cancelled`, `deadline`, `crashed`,
+    `truncated`, `crossed` or `stalled`. `executed` says that the complete
+    request arrived and work on it began.
+    """
+
+    number: int
+    method: str
+    path: str
+    request_id: str
+    idempotency_key: str
+    timeout_ms: int | None
+    has_authorization: bool
+    headers: list[tuple[str, str]]
+    connection: int
+    started: float
+    running: int
+    cold: bool
+    size: int = 0
+    sha256: str = ''
+    executed: bool = False
+    end: str = ''
+    ended: float | None = None
+
+
+class TargetState:
+    """Slots, cold start, counters and records of one target."""
+
+    def __init__(self, name='target', seed=1, cold=False, behaviour=None):
+        self.behaviour = behaviour or Behaviour()
+        self.runs = collections.deque(maxlen=RUNS_LIMIT)
+        self.random = random.Random(seed)
+        self.running = 0
+        self.peak_running = 0
+        self.shed = 0
+        self.probes = collections.Counter()
+        self.changed = asyncio.Event()
+        self._name = name
+        self._starts = 0
+        self._answers = 0
+        self._cold_since = None
+        self._hints = collections.deque()
+        self.restart(cold=cold)
+
+    @property
+    def instance(self):
+        """Instance id, new after each restart."""
+        return f'{self._name}-{self._starts}'
+
+    @property
+    def is_cold(self):
+        """Whether the target is in cold start."""
+        return self._cold_since is not None
+
+    @property
+    def state_name(self):
+        """Value of the X-Target-State header."""
+        if self.behaviour.draining:
+            return 'draining'
+        return 'cold' if self.is_cold else 'warm'
+
+    @property
+    def bears(self):
+        """Number of requests that the target can run at once."""
+        if not self.is_cold:
+            return self.behaviour.slots
+        if self._answers < self.behaviour.cold_answers:
+            return 1
+        return self.behaviour.slots
+
+    def restart(self, cold=True):
+        """Begin a new instance, as after a crash or a fresh start."""
+        self._starts += 1
+        self.set_cold(cold)
+
+    def set_cold(self, cold):
+        """Fall back into cold start, or end it."""
+        self._answers = 0
+        self._cold_since = time.monotonic() if cold else None
+        self.note_hints()
+
+    def begin(self, fields):
+        """Record a run, or return None when it must be shed."""
+        self._check_warm()
+        if self.running >= self.bears:
+            self.shed += 1
+            return None
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+        run = Run(
+            number=len(self.runs),
+            started=time.monotonic(),
+            running=self.running,
+            cold=self.is_cold,
+            **fields,
+        )
+        self.runs.append(run)
+        self.note_hints()
+        self._notify()
+        return run
+
+    def end(self, run, end):
+        """Record the end of a run and free its slot."""
+        run.end = end
+        run.ended = time.monotonic()
+        self.running -= 1
+        if end == 'answered':
+            self._answers += 1
+        self._check_warm()
+        self.note_hints()
+        self._notify()
+
+    def _check_warm(self):
+        if not self.is_cold:
+            return
+        age_s = time.monotonic() - self._cold_since
+        enough = self._answers >= self.behaviour.cold_answers
+        if enough or age_s >= self.behaviour.cold_s:
+            self._cold_since = None
+
+    def _notify(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def wait_for(self, predicate):
+        """Wait until `predicate(self)` holds; checked after each change."""
+        while not predicate(self):
+            await self.changed.wait()
+
+    def draw(self, share):
+        """Return True with the given probability."""
+        return share > 0 and self.random.random() < share
+
+    def note_hints(self):
+        """Remember what the health and load endpoints would say now."""
+        hints = {
+            'state': self.state_name,
+            'instance': self.instance,
+            'running': self.running,
+            'slots': self.behaviour.slots,
+        }
+        self._hints.append((time.monotonic(), hints))
+        while len(self._hints) > 10_000:
+            self._hints.popleft()
+
+    def get_hints(self):
+        """Return the newest hints that are older than the lag."""
+        limit = time.monotonic() - self.behaviour.hint_lag_s
+        answer = self._hints[0][1]
+        for noted, hints in reversed(self._hints):
+            if noted <= limit:
+                answer = hints
+                break
+        answer = dict(answer)
+        if self.behaviour.health_lie:
+            answer['state'] = self.behaviour.health_lie
+        if self.behaviour.running_lie is not None:
+            answer['running'] = self.behaviour.running_lie
+        return answer
+
+    def change(self, changes):
+        """Change fields of the behaviour; unknown fields are an error."""
+        merged = msgspec.structs.asdict(self.behaviour) | changes
+        self.behaviour = msgspec.convert(merged, Behaviour)
+        self.note_hints()
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,352 @@
+"""Tests of the stand-ins' promises that other tests rely on."""
+
+import asyncio
+import hashlib
+import unittest
+
+import httpx
+
+from tests.standins import callers
+from tests.standins import fleet
+from tests.standins import platform
+from tests.standins import serving
+from tests.standins import target
+from tests.standins import target_state
+
+# Overall limit of one test; not a bound on what it measures.
+LIMIT_S = 30.0
+
+
+def make_client(address):
+    """Return an HTTP client for a stand-in's address."""
+    return httpx.AsyncClient(
+        base_url=f'http://{address}', trust_env=False, timeout=LIMIT_S
+    )
+
+
+class StandinTest(unittest.IsolatedAsyncioTestCase):
+    """Common set-up: one stand-in and one client in the test's loop."""
+
+    async def start(self, manager):
+        """Enter a stand-in's context; return its address and a client."""
+        address = await self.enterAsyncContext(manager)
+        client = await self.enterAsyncContext(make_client(address))
+        return address, client
+
+    async def start_target(self, cold=False, seed=1, **behaviour):
+        """Start a target; return it and a client."""
+        state = target_state.TargetState(
+            cold=cold, seed=seed, behaviour=target_state.Behaviour(**behaviour)
+        )
+        server = target.Target(state)
+        _, client = await self.start(target.serve_target(server))
+        return server, client
+
+
+class PlatformTest(StandinTest):
+    """Guards against a platform that hides stale, lost or extra reads."""
+
+    async def asyncSetUp(self):
+        self.state = platform.PlatformState()
+        app = platform.PlatformApplication(self.state)
+        _, self.client = await self.start(serving.serve(app))
+
+    async def read(self, after=0, wait=0, prefix='tickets/'):
+        answer = await self.client.get(
+            '/v1/values',
+            params={'prefix': prefix, 'after': after, 'wait': wait},
+        )
+        return answer.json()
+
+    async def control(self, action, **body):
+        answer = await self.client.post(f'/control/{action}', json=body)
+        return answer.status_code
+
+    async def test_reads_are_by_prefix_and_revision(self):
+        await self.state.publish('tickets/1', 'one')
+        await self.state.publish('other/1', 'x')
+        await self.state.publish('tickets/2', 'two')
+        answer = await self.read(after=1)
+        self.assertEqual(answer['revision'], 3)
+        item = {'key': 'tickets/2', 'revision': 3, 'value': 'two'}
+        self.assertEqual(answer['items'], [item])
+
+    async def test_a_watch_waits_for_a_value_and_is_one_call(self):
+        watch = asyncio.create_task(self.read(wait=LIMIT_S))
+        while self.state.calls == 0:
+            await asyncio.sleep(0.001)
+        self.assertFalse(watch.done())
+        await self.control('values', key='tickets/1', value='one')
+        answer = await watch
+        self.assertEqual(answer['items'][0]['value'], 'one')
+        self.assertEqual(self.state.calls, 1)
+
+    async def test_a_value_over_the_limit_is_refused(self):
+        large = 'x' * (platform.VALUE_LIMIT + 1)
+        status = await self.control('values', key='tickets/1', value=large)
+        self.assertEqual(status, 400)
+        status = await self.control('values', key='tickets/1', value=large[1:])
+        self.assertEqual(status, 200)
+
+    async def test_frozen_readers_see_the_old_state(self):
+        await self.state.publish('tickets/1', 'one')
+        await self.control('mode', mode='frozen')
+        await self.state.publish('tickets/1', 'two')
+        self.assertEqual((await self.read())['items'][0]['value'], 'one')
+        await self.control('mode', mode='normal')
+        self.assertEqual((await self.read())['items'][0]['value'], 'two')
+
+    async def test_a_silent_platform_answers_nothing(self):
+        watch = asyncio.create_task(self.read(wait=LIMIT_S))
+        while self.state.calls == 0:
+            await asyncio.sleep(0.001)
+        await self.control('mode', mode='silent')
+        with self.assertRaises(httpx.ReadTimeout):
+            await self.client.get('/v1/hosts', timeout=0.2)
+        self.assertFalse(watch.done())
+        watch.cancel()
+
+    async def test_calls_over_the_capacity_are_refused(self):
+        await self.control('capacity', calls_per_second=0)
+        answer = await self.client.get('/v1/hosts')
+        self.assertEqual(answer.status_code, 503)
+        stats = (await self.client.get('/v1/stats')).json()
+        self.assertEqual((stats['calls'], stats['overloaded']), (1, 1))
+
+    async def test_the_host_list_lags(self):
+        hosts = [{'address': '127.0.0.2:7001', 'state': 'live'}]
+        await self.control('lag', seconds=3600)
+        await self.control('hosts', hosts=hosts)
+        answer = (await self.client.get('/v1/hosts')).json()
+        self.assertEqual(answer, {'hosts': []})
+        await self.control('lag', seconds=0)
+        await self.control('hosts', hosts=hosts)
+        answer = (await self.client.get('/v1/hosts')).json()
+        self.assertEqual(answer, {'hosts': hosts})
+
+
+class TargetTest(StandinTest):
+    """Guards against targets whose faults or records do not happen."""
+
+    async def test_a_run_is_recorded_without_the_key(self):
+        server, client = await self.start_target()
+        body = b'x' * 200_000
+        answer = await client.post(
+            '/a/b?c=1',
+            content=body,
+            headers={
+                'Authorization': 'Bearer secret',
+                'Idempotency-Key': 'k1',
+                'X-Request-Id': 'r1',
+            },
+        )
+        digest = hashlib.sha256(body).hexdigest()
+        self.assertEqual(answer.json()['sha256'], digest)
+        self.assertEqual(answer.headers['x-request-id'], 'r1')
+        self.assertEqual(answer.headers['x-instance'], 'target-1')
+        self.assertEqual(answer.headers['x-target-state'], 'warm')
+        answer = await client.get('/control/runs')
+        self.assertNotIn('secret', answer.text)
+        run = answer.json()['runs'][0]
+        self.assertEqual(run['path'], '/a/b?c=1')
+        self.assertEqual(run['idempotency_key'], 'k1')
+        self.assertEqual(run['size'], len(body))
+        self.assertEqual(run['end'], 'answered')
+        self.assertTrue(run['has_authorization'] and run['executed'])
+
+    async def test_sheds_what_it_cannot_bear(self):
+        server, client = await self.start_target(slots=1)
+        long = asyncio.create_task(client.get('/?work_ms=60000'))
+        await server.state.wait_for(lambda state: state.running == 1)
+        answer = await client.get('/')
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(answer.headers['x-request-not-run'], '1')
+        self.assertEqual(len(server.state.runs), 1)
+        long.cancel()
+        await server.state.wait_for(lambda state: state.running == 0)
+        self.assertEqual(server.state.runs[0].end, 'cancelled')
+
+    async def test_a_cold_target_bears_one_until_it_is_warm(self):
+        server, client = await self.start_target(cold=True, cold_answers=2)
+        self.assertEqual(server.state.bears, 1)
+        for _ in range(2):
+            answer = await client.get('/')
+            self.assertEqual(answer.headers['x-target-state'], 'cold')
+        answer = await client.get('/')
+        self.assertEqual(answer.headers['x-target-state'], 'warm')
+        self.assertEqual(server.state.bears, 3)
+
+    async def test_falls_over_when_configured(self):
+        server, client = await self.start_target(slots=1, falls_over=True)
+        long = asyncio.create_task(client.get('/?work_ms=60000'))
+        await server.state.wait_for(lambda state: state.running == 1)
+        with self.assertRaises(httpx.HTTPError):
+            await client.get('/')
+        with self.assertRaises(httpx.HTTPError):
+            await long
+        self.assertEqual(server.state.instance, 'target-2')
+        self.assertTrue(server.state.is_cold)
+
+    async def test_respects_the_deadline(self):
+        server, client = await self.start_target()
+        answer = await client.get(
+            '/?work_ms=60000', headers={'X-Request-Timeout-Ms': '50'}
+        )
+        self.assertEqual(answer.status_code, 504)
+        self.assertEqual(server.state.runs[0].end, 'deadline')
+
+    async def test_a_broken_request_is_not_executed(self):
+        server, client = await self.start_target()
+
+        async def fail_half_way():
+            yield b'half'
+            raise ZeroDivisionError
+
+        with self.assertRaises(ZeroDivisionError):
+            await client.post('/', content=fail_half_way())
+        await server.state.wait_for(lambda state: state.runs[0].end)
+        self.assertEqual(server.state.runs[0].end, 'broken_request')
+        self.assertFalse(server.state.runs[0].executed)
+
+    async def check_fault(self, error, **behaviour):
+        server, client = await self.start_target(**behaviour)
+        with self.assertRaises(error):
+            await client.get('/', timeout=0.3)
+        await server.state.wait_for(lambda state: state.runs[0].end)
+        return server.state.runs[0]
+
+    async def test_truncates_answers(self):
+        for mode in ('truncated_share', 'truncated_chunked_share'):
+            run = await self.check_fault(
+                httpx.RemoteProtocolError, **{mode: 1.0}
+            )
+            self.assertEqual(run.end, 'truncated', mode)
+
+    async def test_stalls_before_and_in_the_answer(self):
+        for mode in ('stalled_share', 'stalled_body_share'):
+            run = await self.check_fault(httpx.ReadTimeout, **{mode: 1.0})
+            self.assertEqual(run.end, 'stalled', mode)
+
+    async def test_crosses_answers_and_fails(self):
+        server, client = await self.start_target()
+        server.state.change({'crossed_share': 1.0})
+        answer = await client.get('/', headers={'X-Request-Id': 'r1'})
+        self.assertEqual(answer.headers['x-request-id'], 'other-r1')
+        server.state.change({'crossed_share': 0.0, 'error_share': 1.0})
+        self.assertEqual((await client.get('/')).status_code, 500)
+
+    async def test_old_connections_go_silent_while_new_ones_work(self):
+        server, client = await self.start_target()
+        await client.get('/')
+        server.silence()
+        with self.assertRaises(httpx.ReadTimeout):
+            await client.get('/', timeout=0.2)
+        self.assertEqual(len(server.state.runs), 1)
+        answer = await client.get('/')
+        self.assertEqual(answer.status_code, 200)
+        self.assertEqual(server.accepted, 2)
+
+    async def test_a_marked_request_crashes_it(self):
+        server, client = await self.start_target(crash_marker='poison')
+        with self.assertRaises(httpx.HTTPError):
+            await client.post('/', content=b'some poison here')
+        self.assertEqual(server.state.runs[0].end, 'crashed')
+        self.assertEqual(server.state.instance, 'target-2')
+        answer = await client.post('/', content=b'harmless')
+        self.assertEqual(answer.status_code, 200)
+
+    async def test_connections_over_the_limit_are_reset(self):
+        server, client = await self.start_target(connections=1)
+        await client.get('/')
+        async with make_client(str(client.base_url.netloc, 'ascii')) as other:
+            with self.assertRaises(httpx.HTTPError):
+                await other.get('/')
+        self.assertEqual((server.refused, server.peak_connections), (1, 1))
+
+    async def test_hints_lag_and_lie(self):
+        server, client = await self.start_target(hint_lag_s=3600)
+        server.state.change({'draining': True})
+        answer = await client.get('/health')
+        self.assertNotEqual(answer.json().get('state'), 'draining')
+        server.state.change({'hint_lag_s': 0.0})
+        answer = await client.get('/health')
+        self.assertEqual(answer.json()['state'], 'draining')
+        server.state.change({'running_lie': 99, 'health_lie': 'failing'})
+        self.assertEqual((await client.get('/load')).json()['running'], 99)
+        self.assertEqual((await client.get('/health')).status_code, 503)
+
+    async def test_faults_follow_the_seed(self):
+        ends = []
+        for _ in range(2):
+            server, client = await self.start_target(seed=7, error_share=0.5)
+            for _ in range(20):
+                await client.get('/')
+            ends.append([run.end for run in server.state.runs])
+        self.assertEqual(ends[0], ends[1])
+        self.assertEqual(set(ends[0]), {'answered', 'error'})
+
+
+class CallersTest(StandinTest):
+    """Guards against a load tool that miscounts."""
+
+    async def run_plan(self, client, **fields):
+        url = str(client.base_url).rstrip('/')
+        plan = callers.Plan(urls=(url,), rate=500.0, **fields)
+        return await callers.Callers(plan).run()
+
+    async def test_counts_every_call_by_its_end(self):
+        server, client = await self.start_target(slots=100, error_share=0.3)
+        report = await self.run_plan(
+            client, count=60, method='POST', body_bytes=1000
+        )
+        errors = sum(run.end == 'error' for run in server.state.runs)
+        self.assertTrue(0 < errors < 60)
+        self.assertEqual(report.count(kind='error', status=500), errors)
+        self.assertEqual(report.count(kind='answered'), 60 - errors)
+        self.assertIn('answered', report.format_table())
+
+    async def test_truncated_and_stalled_answers_are_told_apart(self):
+        server, client = await self.start_target(truncated_share=1.0)
+        report = await self.run_plan(client, count=5)
+        self.assertEqual(report.count(kind='truncated'), 5)
+
+    def test_only_loopback_is_allowed(self):
+        plan = callers.Plan(urls=('http://192.0.2.1:80',))
+        with self.assertRaises(ValueError):
+            callers.Callers(plan)
+
+    def test_verdicts_are_read_from_the_header(self):
+        self.assertEqual(
+            callers.parse_verdict('not-run; reason=rate_exceeded'),
+            ('not-run', 'rate_exceeded'),
+        )
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against processes that outlive the test that started them."""
+
+    async def test_starts_controls_and_ends_the_standins(self):
+        async with fleet.run_fleet(hosts=1, targets=1) as running:
+            server = running.targets[0]
+            await running.publish('tickets/1', 'ticket = 1')
+            await running.control(server.url, 'cold')
+            counters = await running.control(server.url, 'counters')
+            self.assertEqual(counters['state'], 'cold')
+            server.process.pause()
+        self.assertFalse(any(each.is_running for each in running.everything))
+        self.assertEqual(await server.process.wait(), 0)
+        self.assertEqual(await running.platform.wait(), 0)
+
+    async def test_a_crashed_target_can_be_started_again(self):
+        async with fleet.run_fleet(hosts=1, targets=1) as running:
+            server = running.targets[0]
+            await running.control(
+                server.url, 'behaviour', {'crash_marker': 'poison'}
+            )
+            async with httpx.AsyncClient(trust_env=False) as client:
+                with self.assertRaises(httpx.HTTPError):
+                    await client.post(server.url, content=b'poison')
+            status = await server.process.wait()
+            self.assertEqual(status, target.CRASH_STATUS)
+            await server.process.start()
+            await running.wait_until_ready(server.process, server.url)
