Add the demonstration and fit the stand-in fleet to the settings

The stand-in fleet wrote settings under other names than the daemon reads. The module of the peer exchanges is called peer_exchange, as the forwarder has a module exchanges for a request's exchange with a target.

--- a/lavenderstile/admin.py
+++ b/lavenderstile/admin.py
@@ -87,6 +87,7 @@
             metrics,
         ],
         openapi_config=None,
+        logging_config=None,
     )
 
 
--- a/lavenderstile/configuration_task.py
+++ b/lavenderstile/configuration_task.py
@@ -102,7 +102,5 @@
         if configuration.generation == self._generation:
             return
         self._generation = configuration.generation
-        self._key_ring = keys.KeyRing.from_workspaces(
-            configuration.workspaces
-        )
+        self._key_ring = keys.KeyRing.from_workspaces(configuration.workspaces)
         self._route_table = routes.RouteTable(configuration.routes)
--- a/lavenderstile/daemon.py
+++ b/lavenderstile/daemon.py
@@ -18,7 +18,6 @@
 from . import dispatch
 from . import entry
 from . import errors
-from . import exchanges
 from . import explain
 from . import forwarding
 from . import gate
@@ -28,9 +27,9 @@
 from . import metrics as metrics_module
 from . import owner as owner_module
 from . import ownership
+from . import peer_exchange
 from . import peers
 from . import platform_client
-from . import probing
 from . import readiness
 from . import serving
 from . import settings as settings_module
@@ -127,7 +126,7 @@
 
     def _make_control(self, settings):
         """Make what connects the host to peers and operators."""
-        self._exchanges = exchanges.Exchanges(
+        self._exchanges = peer_exchange.Exchanges(
             self._host,
             self.membership,
             self._owner,
@@ -238,6 +237,8 @@
             self._exchanges.run(),
             self._reader.run(),
             self._host_list.run(),
+            self._forwarder.run(),
+            self._limit_connections(),
             self._watch_time(),
         )
 
@@ -255,6 +256,17 @@
                     raise task.exception()
         stop.result()
 
+    async def _limit_connections(self):
+        """Divide each target's connection limit among the hosts."""
+        generation = -1
+        while True:
+            if generation != self.configuration.generation:
+                generation = self.configuration.generation
+                await self._forwarder.set_limits(
+                    _divide_connections(self.configuration)
+                )
+            await asyncio.sleep(READINESS_INTERVAL_S)
+
     async def _watch_time(self):
         """Update readiness, and notice pauses of the process."""
         detector = clocks.PauseDetector(
@@ -270,6 +282,16 @@
             self.readiness.update()
 
 
+def _divide_connections(configuration):
+    """Return this host's connection limit for each target."""
+    hosts = len(configuration.fleet.addresses)
+    return {
+        target.address: forwarding.compute_limit(service.connections, hosts)
+        for service in configuration.services.values()
+        for target in service.targets
+    }
+
+
 async def _cancel_all(tasks):
     for task in tasks:
         task.cancel()
@@ -295,7 +317,7 @@
     options = parser.parse_args(arguments)
     try:
         settings = settings_module.load_settings(options.settings)
-        logs.start_logging(settings.host.name)
+        logs.start_logging(settings.host.name, settings.log.level)
         asyncio.run(run_daemon(settings))
     except errors.UserError as error:
         print(error, file=sys.stderr)
--- a/lavenderstile/dispatch.py
+++ b/lavenderstile/dispatch.py
@@ -7,6 +7,7 @@
 
 from . import errors
 from . import gate
+from . import headers
 from . import messages
 from . import retries
 from . import verdicts
@@ -19,6 +20,8 @@
     messages.Outcome.CONNECT_FAILED: verdicts.Reason.TARGET_UNREACHABLE,
     messages.Outcome.NOT_SENT: verdicts.Reason.DEADLINE_EXCEEDED,
     messages.Outcome.SHED: verdicts.Reason.TARGET_SHED,
+    # The caller used up the time, with its body or by reading slowly.
+    messages.Outcome.CANCELLED: verdicts.Reason.DEADLINE_EXCEEDED,
     messages.Outcome.TIMEOUT: verdicts.Reason.TARGET_TIMEOUT,
     messages.Outcome.SILENT_CONNECTION: verdicts.Reason.TARGET_TIMEOUT,
 }
@@ -43,6 +46,15 @@
     return verdicts.Refusal(reason, str(error), error.verdict, retry_after_s)
 
 
+def _measure(source):
+    """Return what a response or an error tells about its target."""
+    return {
+        'latency_s': source.latency_s,
+        'cold': source.cold,
+        'instance': source.instance,
+    }
+
+
 class Attempts:
     """The attempts of one request and what they have left behind."""
 
@@ -156,6 +168,8 @@
                 attempts.fail(error, grant)
                 if answer.started:
                     raise
+                if attempts.request.body.failure is not None:
+                    raise attempts.request.body.failure from error
                 self._check_retry(attempts, error)
 
     async def _acquire(self, attempts):
@@ -211,20 +225,15 @@
         attempts.start_send()
         try:
             async with self._open(attempts, grant) as response:
-                measured = {
-                    'latency_s': response.latency_s,
-                    'cold': response.cold,
-                    'instance': response.instance,
-                }
+                measured = _measure(response)
                 attempts.note(
-                    f'{grant.unit.target} answered {response.status} after '
-                    f'{response.latency_s * 1000:.1f} ms'
+                    f'{grant.unit.target} answered {response.status}'
                 )
                 await answer.send(response)
                 outcome = response.outcome
                 attempts.finish(response)
         except errors.TargetError as error:
-            outcome = error.outcome
+            outcome, measured = error.outcome, _measure(error)
             raise
         finally:
             self._host.metrics.attempts.inc(
@@ -235,11 +244,11 @@
     def _open(self, attempts, grant):
         request = attempts.request
         return self._forwarder.open(
-            target=grant.unit.target,
-            method=request.method,
-            path=request.raw_target,
-            headers=request.headers,
-            body=request.body.stream(),
+            grant.unit.target,
+            request.method,
+            request.raw_target,
+            headers.prepare_for_target(request.headers),
+            request.body.stream() if request.has_body else None,
             request_id=attempts.attempt_id,
             deadline=request.deadline,
         )
--- a/lavenderstile/entry.py
+++ b/lavenderstile/entry.py
@@ -79,7 +79,7 @@
         ]
         headers.append((b'x-request-id', self._request_id.encode()))
         await self._start(response.status, headers)
-        async for chunk in response.body:
+        async for chunk in response:
             await self._write(chunk, True)
         await self._write(b'', False)
 
--- a/lavenderstile/inbound.py
+++ b/lavenderstile/inbound.py
@@ -9,6 +9,8 @@
 # The part of a body that is held: it is digested and can be sent again.
 BODY_HEAD_BYTES = 64 * 1024
 TIMEOUT_HEADER = b'x-request-timeout-ms'
+# RFC 9112, section 6.3: the headers that announce a request's body.
+BODY_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 
 class CallerGoneError(errors.LavenderstileError):
@@ -21,6 +23,7 @@
     __slots__ = (
         '_complete',
         '_completed',
+        '_failure',
         '_head',
         '_max_bytes',
         '_receive',
@@ -36,6 +39,12 @@
         self._complete = False
         self._completed = asyncio.Event()
         self._streamed = False
+        self._failure = None
+
+    @property
+    def failure(self):
+        """The error that ended the caller's body early, or None."""
+        return self._failure
 
     @property
     def head(self):
@@ -53,6 +62,13 @@
         return self._complete or not self._streamed
 
     async def _read(self):
+        try:
+            return await self._read_message()
+        except errors.LavenderstileError as error:
+            self._failure = error
+            raise
+
+    async def _read_message(self):
         message = await self._receive()
         if message['type'] != 'http.request':
             raise CallerGoneError('the caller closed the connection')
@@ -134,6 +150,11 @@
         self.deadline = None
         self.record = journal.open(self.request_id, self.method)
 
+    @property
+    def has_body(self):
+        """Whether the caller announced a body."""
+        return any(name in BODY_HEADERS for name, _ in self.headers)
+
     @property
     def raw_target(self):
         """The request target: path and query, as bytes."""
--- a/lavenderstile/exchanges.py
+++ b/lavenderstile/peer_exchange.py
@@ -7,7 +7,6 @@
 from . import errors
 from . import membership as membership_module
 from . import owner as owner_module
-from . import ownership
 from . import peers
 from . import wire
 from .proto import peer_pb2
--- a/lavenderstile/serving.py
+++ b/lavenderstile/serving.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import litestar
+from litestar import types
 import uvicorn
 
 from . import errors
@@ -68,7 +69,11 @@
     """Return a litestar application that passes everything on."""
 
     @litestar.asgi('/', is_mount=True, copy_scope=False)
-    async def forward(scope, receive, send) -> None:
+    async def forward(
+        scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
         await application(scope, receive, send)
 
-    return litestar.Litestar(route_handlers=[forward], openapi_config=None)
+    return litestar.Litestar(
+        route_handlers=[forward], openapi_config=None, logging_config=None
+    )
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -93,13 +93,20 @@
     JSON strings, numbers and lists of strings are valid TOML values.
     """
     sections = {
-        'host': {'address': host.address, 'domain': host.domain},
+        'host': {
+            'name': host.address,
+            'address': host.address,
+            'domain': host.domain,
+        },
         'listen': {
-            'callers': f'{host.address}:{CALLER_PORT}',
-            'peers': host.peer,
+            'caller': f'{host.address}:{CALLER_PORT}',
+            'peer': host.peer,
             'admin': f'{host.address}:{ADMIN_PORT}',
         },
-        'platform': {'url': platform_url},
+        'platform': {
+            'configuration_url': platform_url,
+            'host_list_url': platform_url,
+        },
         'peers': {'seeds': seeds},
         'timing': timing,
     }
@@ -241,7 +248,7 @@
 
     Daemons are started by `Fleet.start_hosts`.
     """
-    timing = {'drain_lag_s': DRAIN_LAG_S} if timing is None else timing
+    timing = {'balancer_lag_s': DRAIN_LAG_S} if timing is None else timing
     net, lock = reserve_net()
     with contextlib.closing(lock), tempfile.TemporaryDirectory() as path:
         fleet = Fleet(path, net, hosts, targets, timing)
--- /dev/null
+++ b/tests/standins/tickets.py
@@ -0,0 +1,79 @@
+"""Tickets that describe a stand-in fleet."""
+
+import hashlib
+import json
+
+DEMO_KEYS = {'club-a': 'key-of-club-a', 'club-b': 'key-of-club-b'}
+
+
+def digest_key(key):
+    """Return the digest of a key as tickets carry it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _format(table, values):
+    lines = [f'[{table}]']
+    lines += [f'{name} = {json.dumps(values[name])}' for name in values]
+    return '\n'.join(lines)
+
+
+def _format_target(target, slots, leaving):
+    return (
+        f'{{ address = "{target.address}", domain = "{target.domain}", '
+        f'slots = {slots}, leaving = {json.dumps(leaving)} }}'
+    )
+
+
+def format_fleet(addresses):
+    """Return the fleet table."""
+    return _format('fleet', {'addresses': list(addresses)})
+
+
+def format_workspace(name, key, rate, burst):
+    """Return a workspace's table."""
+    values = {'key_digests': [digest_key(key)] if key else []}
+    values |= {'rate': rate, 'burst': burst}
+    return _format(f'workspaces.{name}', values)
+
+
+def format_domain(name, in_service=True):
+    """Return a failure domain's table."""
+    return _format(f'domains.{name}', {'in_service': in_service})
+
+
+def format_service(name, targets, slots=3, leaving=(), **values):
+    """Return a service's table."""
+    listed = ',\n  '.join(
+        _format_target(target, slots, target in leaving) for target in targets
+    )
+    table = _format(f'services.{name}', values)
+    return f'{table}\ntargets = [\n  {listed}\n]'
+
+
+def format_route(name, path, service, **values):
+    """Return a route's table."""
+    values = {'path': path, 'service': service} | values
+    return _format(f'routes.{name}', values)
+
+
+def format_ticket(number, *tables):
+    """Return a ticket."""
+    return '\n\n'.join((f'ticket = {number}', *tables)) + '\n'
+
+
+def format_demo_ticket(fleet, number=1, rate=50.0, burst=20.0):
+    """Return a ticket that puts a whole stand-in fleet in force."""
+    domains = sorted({host.domain for host in fleet.hosts})
+    return format_ticket(
+        number,
+        format_fleet(host.address for host in fleet.hosts),
+        *(format_domain(domain) for domain in domains),
+        *(
+            format_workspace(name, key, rate, burst)
+            for name, key in DEMO_KEYS.items()
+        ),
+        format_service('ledger', fleet.targets, timeout_ms=10_000),
+        format_route('fees', '/fees', 'ledger', idempotency_key='required'),
+        format_route('heats', '/heats', 'ledger'),
+        format_route('standings', '/standings', 'ledger', open=True),
+    )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,9 +3,9 @@
 import unittest
 
 from lavenderstile import messages
+from lavenderstile.proto import peer_pb2
 from lavenderstile import verdicts
 from lavenderstile import wire
-from lavenderstile.proto import peer_pb2
 
 UNIT = messages.SlotUnit('orders', '127.0.0.9:80', 2)
 RATE = messages.RateItem('shop', 1_500_000, 4_000_000, 250_000)
