--- a/lavenderstile/errors.py
+++ b/lavenderstile/errors.py
@@ -45,3 +45,21 @@
     def __init__(self, refusal):
         self.refusal = refusal
         super().__init__(f'{refusal.reason.value}: {refusal.detail}')
+
+
+class TargetError(LavenderstileError):
+    """An attempt on a target gave no complete answer.
+
+    `outcome` is evidence about the target, `verdict` says whether the
+    request may have run. `latency_s`, `cold` and `instance` are what the
+    target's answer told, if one began.
+    """
+
+    def __init__(self, outcome, verdict, detail):
+        self.outcome = outcome
+        self.verdict = verdict
+        self.detail = detail
+        self.latency_s = None
+        self.cold = False
+        self.instance = ''
+        super().__init__(f'{outcome.value}: {detail}')
--- /dev/null
+++ b/lavenderstile/exchanges.py
@@ -0,0 +1,314 @@
+"""One request to a target and its answer."""
+
+import asyncio
+
+import httpx
+
+from . import bodies
+from . import errors
+from . import headers as header_tools
+from . import messages
+from . import verdicts
+
+# Limit for opening a connection; a new one normally takes about 1 ms.
+CONNECT_TIMEOUT_S = 1.0
+
+# A connect that fails only because the deadline left less time than this
+# says nothing about the target.
+CONNECT_EVIDENCE_S = 0.1
+
+# A refusal's body up to this size is read so that its connection can be
+# used again.
+REFUSAL_BYTES = 16 * 1024
+
+# Methods whose requests announce an empty body.
+BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
+
+# Statuses without a body (RFC 9110, section 6.4.1).
+EMPTY_STATUSES = frozenset((204, 304))
+
+Outcome = messages.Outcome
+Verdict = verdicts.Verdict
+
+
+class TargetResponse:
+    """A target's answer; iterate over it for the raw body.
+
+    `headers` are pairs of bytes without the hop-by-hop ones. `latency_s`
+    is the time from the end of the request's send to the answer's head.
+    `outcome` is set at the end of the body.
+    """
+
+    __slots__ = (
+        'cold',
+        'headers',
+        'instance',
+        'latency_s',
+        'outcome',
+        'status',
+        '_exchange',
+    )
+
+    verdict = Verdict.RAN
+
+    def __init__(self, exchange, response, latency_s):
+        raw = response.headers.raw
+        find = header_tools.find_header
+        self.status = response.status_code
+        self.headers = header_tools.remove_hop_by_hop(raw)
+        self.cold = find(raw, b'x-target-state') == b'cold'
+        self.instance = (find(raw, b'x-instance') or b'').decode('latin-1')
+        self.latency_s = latency_s
+        self.outcome = None
+        self._exchange = exchange
+
+    def __aiter__(self):
+        """Iterate over the raw body; raises `TargetError`."""
+        return self._exchange.iterate_body()
+
+
+class Exchange:
+    """Sends one request over a connection and judges how it ends."""
+
+    def __init__(self, clock, pool, request_id, deadline):
+        self.is_clean = False
+        self._clock = clock
+        self._pool = pool
+        self._request_id = request_id.encode('latin-1')
+        self._deadline = deadline
+        self._started = clock.now()
+        self._body = None
+        self._connection = None
+        self._stream = None
+        self._response = None
+        self._caller_s = 0.0
+        self._is_late_reader = False
+
+    def get_remaining(self):
+        """Return the time until the deadline in seconds."""
+        return self._deadline - self._clock.now()
+
+    def fail(self, outcome, verdict, detail):
+        """Return a `TargetError` with what the target told."""
+        error = errors.TargetError(
+            outcome, verdict, f'{self._pool.address}: {detail}'
+        )
+        if self._response is not None:
+            self._response.outcome = outcome
+            error.latency_s = self._response.latency_s
+            error.cold = self._response.cold
+            error.instance = self._response.instance
+        return error
+
+    async def send(self, connection, method, path, headers, chunks):
+        """Send the request and return a `TargetResponse`."""
+        remaining = self.get_remaining()
+        if remaining <= 0:
+            raise self.fail(
+                Outcome.NOT_SENT, Verdict.NOT_RUN, 'deadline is over'
+            )
+        self._connection = connection
+        length = header_tools.find_header(headers, b'content-length')
+        self._body = bodies.RequestBody(
+            self._clock, chunks, None if length is None else int(length)
+        )
+        request = httpx.Request(
+            method,
+            self._pool.url,
+            headers=self._complete_headers(method, headers, chunks, length),
+            stream=self._body,
+            extensions={
+                'target': path,
+                'timeout': {'connect': CONNECT_TIMEOUT_S},
+            },
+        )
+        try:
+            async with asyncio.timeout(remaining):
+                response = await connection.send(request)
+        except TimeoutError:
+            raise self._judge_timeout(remaining) from None
+        except (bodies.BodyError, httpx.HTTPError) as error:
+            raise self._judge_send(error) from error
+        return await self._begin_answer(method, response)
+
+    def _complete_headers(self, method, headers, chunks, length):
+        remaining_ms = max(1, int(self.get_remaining() * 1000))
+        complete = [
+            *headers,
+            (b'x-request-id', self._request_id),
+            (b'x-request-timeout-ms', str(remaining_ms).encode()),
+        ]
+        if header_tools.find_header(headers, b'host') is None:
+            complete.append((b'host', self._pool.address.encode()))
+        if length is None and chunks is not None:
+            complete.append((b'transfer-encoding', b'chunked'))
+        elif length is None and method in BODY_METHODS:
+            complete.append((b'content-length', b'0'))
+        return complete
+
+    def _judge_send(self, error):
+        match error:
+            case httpx.RemoteProtocolError() if not is_disconnect(error):
+                return self.fail(
+                    Outcome.TRUNCATED,
+                    Verdict.MAY_HAVE_RUN,
+                    f'answer is malformed: {error}',
+                )
+            case bodies.BodyError():
+                return self.fail(
+                    Outcome.CANCELLED, Verdict.MAY_HAVE_RUN, str(error)
+                )
+            case httpx.ConnectError() | httpx.ConnectTimeout():
+                return self.fail(
+                    Outcome.CONNECT_FAILED,
+                    Verdict.NOT_RUN,
+                    f'connecting failed: {error}',
+                )
+            case httpx.LocalProtocolError():
+                return self.fail(
+                    Outcome.NOT_SENT,
+                    Verdict.NOT_RUN,
+                    f'request cannot be sent: {error}',
+                )
+        kind = 'reused' if self._connection.is_reused else 'new'
+        return self.fail(
+            Outcome.CRASHED,
+            Verdict.MAY_HAVE_RUN,
+            f'{kind} connection ended before an answer: {error}',
+        )
+
+    def _judge_timeout(self, time_s):
+        """Return the error for a deadline that passed in `time_s`."""
+        connection = self._connection
+        if not connection.is_connected:
+            if time_s < CONNECT_EVIDENCE_S:
+                return self.fail(
+                    Outcome.NOT_SENT, Verdict.NOT_RUN, 'deadline is over'
+                )
+            return self.fail(
+                Outcome.CONNECT_FAILED,
+                Verdict.NOT_RUN,
+                'not connected before the deadline',
+            )
+        if self._is_callers_fault():
+            outcome, detail = Outcome.CANCELLED, 'caller used up the time'
+        elif self._pool.record_timeout(connection, self._get_sent_at()):
+            outcome = Outcome.SILENT_CONNECTION
+            detail = 'connection is silent, a newer one works'
+        else:
+            outcome, detail = Outcome.TIMEOUT, 'no answer before the deadline'
+        return self.fail(outcome, Verdict.MAY_HAVE_RUN, detail)
+
+    def _get_sent_at(self):
+        sent_at = self._body.sent_at
+        return self._started if sent_at is None else sent_at
+
+    def _is_callers_fault(self):
+        """Return whether the caller used up most of the time."""
+        if self._is_late_reader:
+            return True
+        if self._body.sent_at is None and self._body.is_waiting:
+            return True
+        caller_s = self._caller_s + self._body.waited_s
+        return caller_s > (self._clock.now() - self._started) / 2
+
+    async def _begin_answer(self, method, response):
+        self._stream = response.stream
+        self._pool.record_answer(self._connection)
+        latency_s = None
+        if self._body.sent_at is not None:
+            latency_s = self._clock.now() - self._body.sent_at
+        self._response = TargetResponse(self, response, latency_s)
+        raw = response.headers.raw
+        echo = header_tools.find_header(raw, b'x-request-id')
+        if not self._pool.check_echo(echo, self._request_id):
+            raise self.fail(
+                Outcome.CROSSED,
+                Verdict.MAY_HAVE_RUN,
+                'answer does not carry the id of its request',
+            )
+        if not is_framed(method, response.status_code, raw):
+            raise self.fail(
+                Outcome.TRUNCATED,
+                Verdict.MAY_HAVE_RUN,
+                'end of the answer cannot be recognized',
+            )
+        not_run = header_tools.find_header(raw, b'x-request-not-run')
+        if response.status_code == 503 and not_run == b'1':
+            await self._skip_refusal()
+            raise self.fail(Outcome.SHED, Verdict.NOT_RUN, 'target sheds load')
+        return self._response
+
+    async def _skip_refusal(self):
+        size = 0
+        try:
+            async for chunk in self.iterate_body():
+                size += len(chunk)
+                if size > REFUSAL_BYTES:
+                    return
+        except errors.TargetError:
+            # The head already proves that the request did not run.
+            return
+
+    async def iterate_body(self):
+        """Yield the raw body; raise `TargetError` unless it is complete."""
+        iterator = aiter(self._stream)
+        while True:
+            chunk = await self._read(iterator)
+            if chunk is None:
+                break
+            paused = self._clock.now()
+            yield chunk
+            self._caller_s += self._clock.now() - paused
+            self._is_late_reader = self.get_remaining() <= 0
+        self.is_clean = True
+        is_error = self._response.status >= 500
+        self._response.outcome = (
+            Outcome.ERROR_STATUS if is_error else Outcome.ANSWERED
+        )
+
+    async def _read(self, iterator):
+        try:
+            async with asyncio.timeout(self.get_remaining()):
+                return await anext(iterator)
+        except StopAsyncIteration:
+            return None
+        except TimeoutError:
+            raise self._judge_timeout(0.0) from None
+        except httpx.HTTPError as error:
+            raise self.fail(
+                Outcome.TRUNCATED,
+                Verdict.MAY_HAVE_RUN,
+                f'answer was cut: {error}',
+            ) from error
+
+    async def end(self):
+        """End the answer; its connection closes unless it is complete."""
+        if self._response is not None and self._response.outcome is None:
+            self._response.outcome = Outcome.CANCELLED
+        if self._stream is not None:
+            await self._stream.aclose()
+
+
+def is_disconnect(error):
+    """Return whether a connection ended before any complete answer head.
+
+    The library uses one exception class for this and for malformed heads.
+    """
+    return str(error).startswith('Server disconnected')
+
+
+def is_framed(method, status, headers):
+    """Return whether the end of an answer can be recognized.
+
+    An answer that only the end of its connection delimits looks complete
+    when the target dies in the middle of it.
+    """
+    if status == 101:
+        return False
+    if method == 'HEAD' or status in EMPTY_STATUSES:
+        return True
+    return (
+        header_tools.find_header(headers, b'content-length') is not None
+        or header_tools.find_header(headers, b'transfer-encoding') is not None
+    )
--- /dev/null
+++ b/lavenderstile/forwarding.py
@@ -0,0 +1,104 @@
+"""Connections from this host to targets."""
+
+import asyncio
+import contextlib
+
+from . import exchanges
+from . import messages
+from . import pools
+from . import verdicts
+
+# Connections per host and target where no limit was set.
+DEFAULT_LIMIT = 8
+
+# Interval in which idle connections are checked.
+SWEEP_INTERVAL_S = 1.0
+
+
+def compute_limit(connections, hosts):
+    """Return a host's share of a target's connection limit."""
+    return max(1, connections // max(1, hosts))
+
+
+class Forwarder:
+    """Sends requests to targets and streams their answers."""
+
+    def __init__(self, clock, default_limit=DEFAULT_LIMIT):
+        self._clock = clock
+        self._default_limit = default_limit
+        self._pools = {}
+
+    async def set_limits(self, limits):
+        """Set the connection limits by target address.
+
+        Connections to targets that are not in `limits` are retired.
+        """
+        for address, limit in limits.items():
+            self._get_pool(address).set_limit(limit)
+        for address in self._pools.keys() - limits.keys():
+            await self._pools.pop(address).close()
+
+    def get_pool(self, address):
+        """Return the pool of a target, or None; for states and tests."""
+        return self._pools.get(address)
+
+    def _get_pool(self, address):
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = pools.TargetPool(self._clock, address, self._default_limit)
+            self._pools[address] = pool
+        return pool
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        address,
+        method,
+        path,
+        headers,
+        body=None,
+        *,
+        request_id,
+        deadline,
+    ):
+        """Send a request to a target and yield its `TargetResponse`.
+
+        `path` is the raw path with query. `headers` are pairs of bytes
+        from `headers.prepare_for_target`. `body` is an asynchronous
+        iterator of bytes, or None; it has to raise when the caller goes
+        away before its end. `deadline` is on the clock's scale. Raises
+        `errors.TargetError`.
+        """
+        pool = self._get_pool(address)
+        exchange = exchanges.Exchange(self._clock, pool, request_id, deadline)
+        connection = await self._acquire(pool, exchange)
+        try:
+            yield await exchange.send(connection, method, path, headers, body)
+        finally:
+            try:
+                await exchange.end()
+            finally:
+                await pool.release(connection, exchange.is_clean)
+
+    async def _acquire(self, pool, exchange):
+        try:
+            async with asyncio.timeout(exchange.get_remaining()):
+                return await pool.acquire()
+        except TimeoutError:
+            raise exchange.fail(
+                messages.Outcome.NOT_SENT,
+                verdicts.Verdict.NOT_RUN,
+                'no free connection before the deadline',
+            ) from None
+
+    async def run(self):
+        """Close stale idle connections until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            for pool in list(self._pools.values()):
+                await pool.sweep()
+
+    async def close(self):
+        """Close idle connections; running requests close theirs."""
+        for pool in self._pools.values():
+            await pool.close()
