--- /dev/null
+++ b/lavenderstile/configuration.py
@@ -0,0 +1,311 @@
+"""The state in force: a last-writer-wins map of configured objects.
+
+Each object keeps the version (number and digest) of the ticket that set or
+removed it; the higher version wins, so applying tickets is commutative and
+idempotent, and a stale ticket undoes nothing.
+"""
+
+import dataclasses
+import hashlib
+
+from . import models
+from . import tickets
+
+# Digests of objects are added modulo this number. Unlike a hash over the
+# sorted list, the sum is updated in time proportional to the change.
+_DIGEST_MODULUS = 1 << 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Different tickets that carry one number, an operator's error."""
+
+    number: int
+    digests: tuple[bytes, ...]
+
+    def __str__(self):
+        names = ', '.join(digest.hex()[:12] for digest in self.digests)
+        return f'ticket number {self.number} was used by tickets {names}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unresolved:
+    """An object that refers to an object that is not in force."""
+
+    kind: str
+    name: str
+    missing_kind: str
+    missing: str
+
+    def __str__(self):
+        return (
+            f'{self.kind}.{self.name} refers to '
+            f'{self.missing_kind}.{self.missing}, which is not configured'
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplyResult:
+    """What a ticket did, as tuples of (kind, name).
+
+    `conflicts` are the conflicts that this ticket revealed; `ignored` are
+    the objects of which a version at least as high is in force.
+    """
+
+    changed: tuple[tuple[str, str], ...] = ()
+    conflicts: tuple[Conflict, ...] = ()
+    ignored: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All objects in force at one moment; its dicts never change."""
+
+    generation: int = 0
+    fleet: models.Fleet = models.Fleet()
+    domains: dict[str, models.Domain] = dataclasses.field(default_factory=dict)
+    workspaces: dict[str, models.Workspace] = dataclasses.field(
+        default_factory=dict
+    )
+    services: dict[str, models.Service] = dataclasses.field(
+        default_factory=dict
+    )
+    routes: dict[str, models.Route] = dataclasses.field(default_factory=dict)
+    domains_out: frozenset[str] = frozenset()
+
+
+class Configuration:
+    """The objects in force on this host, with the tickets they come from."""
+
+    __slots__ = (
+        '_digests',
+        '_newest',
+        '_snapshot',
+        '_sum',
+        '_texts',
+        '_unresolved',
+        '_uses',
+        '_versions',
+    )
+
+    def __init__(self):
+        self._snapshot = Snapshot()
+        self._versions = {}
+        self._texts = {}
+        self._uses = {}
+        self._digests = {}
+        self._newest = 0
+        self._sum = 0
+        self._unresolved = None
+
+    @property
+    def snapshot(self):
+        """All objects in force, consistent with each other."""
+        return self._snapshot
+
+    @property
+    def generation(self):
+        """A number that grows with each change."""
+        return self._snapshot.generation
+
+    @property
+    def fleet(self):
+        """The published fleet; without addresses before the first ticket."""
+        return self._snapshot.fleet
+
+    @property
+    def domains(self):
+        """Failure domains by name."""
+        return self._snapshot.domains
+
+    @property
+    def workspaces(self):
+        """Workspaces by name."""
+        return self._snapshot.workspaces
+
+    @property
+    def services(self):
+        """Services by name."""
+        return self._snapshot.services
+
+    @property
+    def routes(self):
+        """Routes by name."""
+        return self._snapshot.routes
+
+    @property
+    def domains_out(self):
+        """Names of the failure domains that are out of service."""
+        return self._snapshot.domains_out
+
+    @property
+    def fleet_version(self):
+        """Identifies the ticket that set the fleet; '' before the first.
+
+        A fleet that returns to an earlier list gets another version, since
+        claims made in between are known to other homes only.
+        """
+        version = self._versions.get(('fleet', tickets.FLEET))
+        if version is None:
+            return ''
+        return f'{version[0]}-{version[1].hex()[:16]}'
+
+    @property
+    def digest(self):
+        """Digest of all objects' versions, independent of arrival order."""
+        return self._sum.to_bytes(32, 'big')
+
+    @property
+    def newest(self):
+        """Highest number of a ticket in force, 0 before the first."""
+        return self._newest
+
+    @property
+    def conflicts(self):
+        """Conflicts of tickets that are still in force, by number."""
+        return tuple(
+            Conflict(number, tuple(sorted(digests)))
+            for number, digests in sorted(self._digests.items())
+            if len(digests) > 1
+        )
+
+    @property
+    def tickets(self):
+        """Texts of the tickets in force, by digest."""
+        return dict(self._texts)
+
+    @property
+    def versions(self):
+        """Pairs (ticket number, ticket digest) by (kind, name).
+
+        Removed objects are listed too, as their tombstones are in force.
+        """
+        return dict(self._versions)
+
+    @property
+    def unresolved(self):
+        """References to objects that are not in force."""
+        if self._unresolved is None:
+            self._unresolved = tuple(_find_unresolved(self._snapshot))
+        return self._unresolved
+
+    def missing_from(self, known_digests):
+        """Return the texts in force whose digests are not known there."""
+        return [
+            text
+            for digest, text in self._texts.items()
+            if digest not in known_digests
+        ]
+
+    def apply(self, ticket):
+        """Put the newer objects of a ticket in force."""
+        return self.apply_all((ticket,))[0]
+
+    def apply_all(self, batch):
+        """Apply tickets with one swap of the state; return their results.
+
+        Each swap copies the dicts of the kinds that change, so that a host
+        that starts with thousands of tickets must not swap for each.
+        """
+        changes = {}
+        results = [self._merge(ticket, changes) for ticket in batch]
+        if changes:
+            self._snapshot = _replace_objects(self._snapshot, changes)
+            self._unresolved = None
+        return results
+
+    def _merge(self, ticket, changes):
+        changed = []
+        ignored = []
+        for item, model in ticket.objects.items():
+            old = self._versions.get(item)
+            if old is not None and not self._supersedes(ticket.version, old):
+                ignored.append(item)
+                continue
+            changed.append(item)
+            changes[item] = model
+            self._set_version(item, old, ticket)
+        conflicts = self._record_digest(ticket)
+        return ApplyResult(tuple(changed), conflicts, tuple(ignored))
+
+    @staticmethod
+    def _supersedes(new, old):
+        return new > old
+
+    def _set_version(self, item, old, ticket):
+        self._versions[item] = ticket.version
+        self._sum += _hash_version(item, ticket.version)
+        if old is not None:
+            self._sum -= _hash_version(item, old)
+        self._sum %= _DIGEST_MODULUS
+        self._newest = max(self._newest, ticket.number)
+        self._uses[ticket.version] = self._uses.get(ticket.version, 0) + 1
+        self._texts[ticket.digest] = ticket.text
+        if old is not None:
+            self._drop_use(old)
+
+    def _drop_use(self, version):
+        self._uses[version] -= 1
+        if self._uses[version]:
+            return
+        number, digest = version
+        del self._uses[version]
+        del self._texts[digest]
+        if not self._is_in_force(number):
+            self._digests.pop(number, None)
+
+    def _record_digest(self, ticket):
+        digests = self._digests.setdefault(ticket.number, set())
+        known = ticket.digest in digests
+        digests.add(ticket.digest)
+        if not self._is_in_force(ticket.number):
+            del self._digests[ticket.number]
+            return ()
+        if known or len(digests) < 2:
+            return ()
+        return (Conflict(ticket.number, tuple(sorted(digests))),)
+
+    def _is_in_force(self, number):
+        digests = self._digests.get(number, ())
+        return any((number, digest) in self._uses for digest in digests)
+
+
+def _hash_version(item, version):
+    kind, name = item
+    number, digest = version
+    content = f'{kind}\0{name}\0{number}\0'.encode() + digest
+    return int.from_bytes(hashlib.sha256(content).digest(), 'big')
+
+
+def _replace_objects(snapshot, changes):
+    copies = {}
+    for (kind, name), model in changes.items():
+        if kind == 'fleet':
+            copies['fleet'] = model
+            continue
+        if kind not in copies:
+            copies[kind] = dict(getattr(snapshot, kind))
+        if model is None:
+            copies[kind].pop(name, None)
+        else:
+            copies[kind][name] = model
+    if 'domains' in copies:
+        copies['domains_out'] = frozenset(
+            domain.name
+            for domain in copies['domains'].values()
+            if not domain.in_service
+        )
+    generation = snapshot.generation + 1
+    return dataclasses.replace(snapshot, generation=generation, **copies)
+
+
+def _find_unresolved(snapshot):
+    for name in sorted(snapshot.routes):
+        service = snapshot.routes[name].service
+        if service not in snapshot.services:
+            yield Unresolved('routes', name, 'services', service)
+    for name in sorted(snapshot.services):
+        targets = snapshot.services[name].targets
+        for domain in sorted({target.domain for target in targets}):
+            if domain not in snapshot.domains:
+                yield Unresolved('services', name, 'domains', domain)
--- /dev/null
+++ b/lavenderstile/routes.py
@@ -0,0 +1,80 @@
+"""Route lookup by the longest path prefix."""
+
+from . import paths
+
+
+class _Node:
+    """A path segment: its subsegments and the routes that end here."""
+
+    __slots__ = ('children', 'routes')
+
+    def __init__(self):
+        self.children = None
+        self.routes = ()
+
+
+class RouteTable:
+    """Maps a method and a path to a route.
+
+    Prefixes end at segment boundaries. The longest prefix that has routes
+    decides alone: when none of its routes allows the method, shorter
+    prefixes are not asked, as they may be open or lead to another service.
+    Among routes of one prefix, the lowest name wins.
+    """
+
+    __slots__ = ('_root',)
+
+    def __init__(self, routes):
+        """Build the table from a dict of routes by name."""
+        self._root = _Node()
+        for name in sorted(routes):
+            self._insert(routes[name])
+
+    def _insert(self, route):
+        node = self._root
+        for segment in paths.split_path(route.path):
+            if node.children is None:
+                node.children = {}
+            child = node.children.get(segment)
+            if child is None:
+                child = node.children[segment] = _Node()
+            node = child
+        node.routes += (route,)
+
+    def find_candidates(self, path):
+        """Return the routes of the longest prefix of a raw path."""
+        segments = paths.split_path(path)
+        if segments is None:
+            return ()
+        node = self._root
+        found = node.routes
+        for segment in segments:
+            if node.children is None:
+                break
+            node = node.children.get(segment)
+            if node is None:
+                break
+            found = node.routes or found
+        return found
+
+    def match(self, method, path):
+        """Return the route of a request, or None.
+
+        `path` is the raw path, percent-encoded and with or without query.
+        After None, `allowed_methods` tells an unknown path from a method
+        that is not allowed.
+        """
+        for route in self.find_candidates(path):
+            if not route.methods or method in route.methods:
+                return route
+        return None
+
+    def allowed_methods(self, path):
+        """Return the sorted methods of a known path, () when unknown.
+
+        A path that has a route without methods matches every method.
+        """
+        methods = set()
+        for route in self.find_candidates(path):
+            methods.update(route.methods)
+        return tuple(sorted(methods))
