--- /dev/null
+++ b/tests/fleet_case.py
@@ -0,0 +1,145 @@
+"""Base class of tests with a fleet of real processes."""
+
+import asyncio
+import time
+import unittest
+
+import httpx
+
+from tests.standins import fleet as fleet_module
+from tests.standins import tickets
+
+# Overall limit of a wait; what has to happen takes seconds.
+WAIT_LIMIT_S = 60.0
+POLL_S = 0.05
+KEY = tickets.DEMO_KEYS['club-a']
+# Retry-After and leases are in seconds, so that is how long a fleet that
+# has just lost a host may need.
+REQUEST_TIMEOUT_S = 30.0
+
+
+class FleetTestCase(unittest.TestCase):
+    """A fleet that serves the demonstration's ticket; one for a class."""
+
+    hosts = 3
+    targets = 6
+    rate = 1000.0
+    burst = 1000.0
+
+    @classmethod
+    def setUpClass(cls):
+        """Start the fleet and wait until each host answers."""
+        cls.runner = asyncio.Runner()
+        cls.context = fleet_module.run_fleet(cls.hosts, cls.targets)
+        cls.addClassCleanup(cls.runner.close)
+        cls.fleet = cls.runner.run(cls.context.__aenter__())
+        cls.addClassCleanup(
+            lambda: cls.runner.run(cls.context.__aexit__(None, None, None))
+        )
+        cls.client = httpx.AsyncClient(
+            trust_env=False, timeout=REQUEST_TIMEOUT_S
+        )
+        cls.addClassCleanup(lambda: cls.runner.run(cls.client.aclose()))
+        cls.ticket_number = 0
+        cls.runner.run(cls._start())
+
+    @classmethod
+    async def _start(cls):
+        await cls.publish(
+            *tickets.list_demo_tables(cls.fleet, cls.rate, cls.burst)
+        )
+        await cls.fleet.start_hosts()
+        await cls.fleet.wait_for_hosts()
+        for host in cls.fleet.hosts:
+            await cls.wait_until_answered(host)
+
+    @classmethod
+    async def publish(cls, *tables):
+        """Publish the next ticket; return its number."""
+        cls.ticket_number += 1
+        await cls.fleet.publish(
+            f'tickets/{cls.ticket_number}',
+            tickets.format_ticket(cls.ticket_number, *tables),
+        )
+        return cls.ticket_number
+
+    @classmethod
+    async def call(cls, host, method='GET', path='/heats/1', **options):
+        """Send a request through a host with the key of a workspace."""
+        headers = {'Authorization': f'Bearer {options.pop("key", KEY)}'}
+        headers |= options.pop('headers', {})
+        return await cls.client.request(
+            method, host.caller_url + path, headers=headers, **options
+        )
+
+    @classmethod
+    async def wait_for(cls, condition):
+        """Wait until an asynchronous condition holds."""
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while not await condition():
+                await asyncio.sleep(POLL_S)
+
+    @classmethod
+    async def wait_until_answered(cls, host):
+        """Wait until requests through a host are answered."""
+
+        async def is_answered():
+            return (await cls.call(host)).status_code == 200
+
+        await cls.wait_for(is_answered)
+
+    @classmethod
+    async def get_admin(cls, host, path):
+        """Return the JSON of an admin endpoint."""
+        return (await cls.client.get(host.admin_url + path)).json()
+
+    @classmethod
+    async def get_newest(cls, host):
+        """Return the newest ticket in force on a host."""
+        return (await cls.get_admin(host, '/-/configuration'))['newest']
+
+    @classmethod
+    async def wait_in_force(cls, number, hosts=None):
+        """Wait until a ticket is in force on all hosts."""
+        for host in hosts or cls.fleet.hosts:
+
+            async def is_in_force(host=host):
+                return await cls.get_newest(host) >= number
+
+            await cls.wait_for(is_in_force)
+
+    @classmethod
+    async def list_runs(cls, targets=None):
+        """Return the runs that targets recorded."""
+        runs = []
+        for target in targets or cls.fleet.targets:
+            if target.process.is_running:
+                answer = await cls.fleet.control(target.url, 'runs')
+                runs += answer['runs']
+        return runs
+
+    @classmethod
+    async def behave(cls, targets=None, **behaviour):
+        """Change how targets behave."""
+        for target in targets or cls.fleet.targets:
+            await cls.fleet.control(target.url, 'behaviour', behaviour)
+
+    @classmethod
+    async def find_owner(cls, service='ledger'):
+        """Return the host that owns a service."""
+        for host in cls.fleet.hosts:
+            if not host.process.is_running:
+                continue
+            state = await cls.get_admin(host, '/-/state')
+            borrowed = state['owner']['borrower']['leases']
+            owned = state['owner']['services'].get(service, {})
+            if borrowed and any(
+                target['units'] for target in owned.get('targets', {}).values()
+            ):
+                return host
+        raise AssertionError(f'no host owns {service}')
+
+    @staticmethod
+    def now():
+        """Return the time on the scale of the targets' records."""
+        return time.monotonic()
--- a/tests/standins/tickets.py
+++ b/tests/standins/tickets.py
@@ -61,11 +61,10 @@
     return '\n\n'.join((f'ticket = {number}', *tables)) + '\n'
 
 
-def format_demo_ticket(fleet, number=1, rate=50.0, burst=20.0):
-    """Return a ticket that puts a whole stand-in fleet in force."""
+def list_demo_tables(fleet, rate=50.0, burst=20.0):
+    """Return the tables that put a whole stand-in fleet in force."""
     domains = sorted({host.domain for host in fleet.hosts})
-    return format_ticket(
-        number,
+    return (
         format_fleet(host.address for host in fleet.hosts),
         *(format_domain(domain) for domain in domains),
         *(
@@ -77,3 +76,8 @@
         format_route('heats', '/heats', 'ledger'),
         format_route('standings', '/standings', 'ledger', open=True),
     )
+
+
+def format_demo_ticket(fleet, number=1):
+    """Return a ticket that puts a whole stand-in fleet in force."""
+    return format_ticket(number, *list_demo_tables(fleet))
