--- /dev/null
+++ b/lavenderstile/admin_answers.py
@@ -0,0 +1,71 @@
+"""JSON answers of a daemon's admin interface."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectEntry:
+    """The version of an object in force.
+
+    `ticket` and `digest` are the number and the digest (hexadecimal) of
+    the ticket that set the object or, if `removed`, removed it.
+    """
+
+    kind: str
+    name: str
+    ticket: int
+    digest: str
+    removed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationAnswer:
+    """Answer to `GET /-/configuration`.
+
+    `conflicts` and `unresolved` are sentences for the operator.
+    """
+
+    newest: int
+    digest: str
+    objects: list[ObjectEntry]
+    conflicts: list[str] = dataclasses.field(default_factory=list)
+    unresolved: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExplainAnswer:
+    """Answer to `GET /-/explain/...`: sentences for the operator."""
+
+    sentences: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionAnswer:
+    """Answer to `GET /-/version`."""
+
+    name: str
+    version: str
+    python: str
+    incarnation: int
+    address: str
+
+
+def describe_configuration(state):
+    """Return the ConfigurationAnswer of a Configuration."""
+    objects = [
+        ObjectEntry(
+            kind,
+            name,
+            number,
+            digest.hex(),
+            kind != 'fleet' and name not in getattr(state, kind),
+        )
+        for (kind, name), (number, digest) in sorted(state.versions.items())
+    ]
+    return ConfigurationAnswer(
+        state.newest,
+        state.digest.hex(),
+        objects,
+        [str(item) for item in state.conflicts],
+        [str(item) for item in state.unresolved],
+    )
--- a/lavenderstile/schemas.py
+++ b/lavenderstile/schemas.py
@@ -102,10 +102,15 @@
     return files.joinpath(name).read_text(encoding='utf-8')
 
 
+def load_schema(name):
+    """Return the shipped schema file `name`."""
+    return json.loads(read_resource(name))
+
+
 @functools.cache
 def load_validator(name):
     """Return the validator of the shipped schema file `name`."""
-    schema = json.loads(read_resource(name))
+    schema = load_schema(name)
     _Validator.check_schema(schema)
     return _Validator(schema, format_checker=_build_format_checker())
 
--- a/lavenderstile/settings.py
+++ b/lavenderstile/settings.py
@@ -92,7 +92,7 @@
     take precedence over the file at `path`.
     """
     source = OVERRIDES if path is None else str(path)
-    layers = [tomllib.loads(schemas.read_resource(DEFAULTS_NAME))]
+    layers = [load_defaults()]
     if path is not None:
         layers.append(_read_file(path))
     layers.append(_nest_overrides(overrides or {}))
@@ -104,6 +104,11 @@
     return _build(merged)
 
 
+def load_defaults():
+    """Return the shipped defaults as a dict of sections."""
+    return tomllib.loads(schemas.read_resource(DEFAULTS_NAME))
+
+
 def _read_file(path):
     try:
         return schemas.load_toml(pathlib.Path(path).read_bytes())
--- /dev/null
+++ b/tests/standins/admin_host.py
@@ -0,0 +1,70 @@
+"""Stand-in for the admin interface of daemons, without sockets."""
+
+import json
+
+import httpx
+import msgspec
+
+from lavenderstile import admin_answers
+
+
+class AdminHost:
+    """ASGI application that answers as one daemon's admin listener.
+
+    `resources` maps (method, decoded path) to a JSON value, to raw bytes,
+    or to a status code. `requests` lists what was asked.
+    """
+
+    def __init__(self, resources=None):
+        self.resources = dict(resources or {})
+        self.requests = []
+
+    def set_configuration(self, state):
+        """Answer with what is in force in a Configuration."""
+        answer = admin_answers.describe_configuration(state)
+        self.resources['GET', '/-/configuration'] = answer
+
+    async def __call__(self, scope, receive, send):
+        """Answer one request."""
+        request = (scope['method'], scope['path'])
+        self.requests.append(request)
+        status, body = _render(self.resources.get(request, 404))
+        headers = [(b'content-type', b'application/json')]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
+
+
+def _render(value):
+    match value:
+        case int():
+            return value, b'{"detail": "no answer"}'
+        case bytes():
+            return 200, value
+        case dict():
+            return 200, json.dumps(value).encode()
+        case _:
+            return 200, msgspec.json.encode(value)
+
+
+class FleetTransport(httpx.AsyncBaseTransport):
+    """Connects `ip:port` addresses to stand-ins; others refuse."""
+
+    def __init__(self, hosts):
+        self._transports = {
+            address: httpx.ASGITransport(host)
+            for address, host in hosts.items()
+        }
+
+    async def handle_async_request(self, request):
+        """Pass a request to the stand-in at its address."""
+        address = request.url.netloc.decode()
+        transport = self._transports.get(address)
+        if transport is None:
+            raise httpx.ConnectError('refused', request=request)
+        return await transport.handle_async_request(request)
