Let shares grow only after leases under the old ones have ended

Cause: a share grew 5 s after its host learned a change. A host that learns the change at the limit of 5 s may have granted its old share just before, and its borrower uses that for another lease. A process that starts within that time took its first state for one long in force.

Change: the delay is 8.3 s (spread limit plus lender hold) and applies to the first state as well. set_rights takes in_force_s, the time for which the state is known to have been published, so that a start with a settled state waits for the quarantine only. A simulated fleet with drifting clocks, faults and an oracle drives the real objects, by directed scenarios and by random schedules.

Conclusion: 5 s is too short by one lease.

--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -18,9 +18,11 @@
 # 10% longer than the lease: the lender's clock may run that much faster
 # than the borrower's.
 LENDER_HOLD_S = 3.3
-# Time until a configuration change is in force on every host. A right that
-# grows earlier could exceed the limit together with shares not yet reduced.
-GROWTH_DELAY_S = 5.0
+# Stated limit for a configuration change to be in force on every host.
+SPREAD_LIMIT_S = 5.0
+# A larger share waits until the hosts whose shares get smaller know of the
+# change and the leases that they granted before have ended.
+GROWTH_DELAY_S = SPREAD_LIMIT_S + LENDER_HOLD_S
 
 # Shares are pairs of rate and burst in millionths.
 NO_SHARE = (0, 0)
@@ -203,7 +205,6 @@
 
     __slots__ = (
         '_address',
-        '_configured',
         '_ended',
         '_last_lease_id',
         '_leases',
@@ -216,7 +217,6 @@
         # A predecessor at this address may have lent the rights just
         # before it ended.
         self._quarantine_until = now + LENDER_HOLD_S
-        self._configured = False
         self._rights = {}
         self._leases = {}
         # Leases of earlier incarnations of borrowers, until their end.
@@ -226,19 +226,20 @@
         seed = f'{address}\0{now!r}'.encode()
         self._last_lease_id = xxhash.xxh3_64_intdigest(seed) >> 1
 
-    def set_rights(self, shares, units, now):
+    def set_rights(self, shares, units, now, in_force_s=0.0):
         """Set this host's shares of the rates and its slot units.
 
-        Smaller shares apply at once, larger ones after `GROWTH_DELAY_S`.
-        The first call sets the state at the start, which applies when the
-        quarantine ends.
+        Smaller shares apply at once, larger ones `GROWTH_DELAY_S` after the
+        change was published. `in_force_s` is for how long at least the
+        change is known to have been published, for example because a peer
+        has had it for that time.
         """
         self._settle(now)
         wanted = dict(shares)
         wanted.update(dict.fromkeys(sorted(units), UNIT_SHARE))
-        grow_at = now + GROWTH_DELAY_S if self._configured else now
-        grow_at = max(grow_at, self._quarantine_until)
-        self._configured = self._configured or bool(wanted)
+        grow_at = max(
+            now + GROWTH_DELAY_S - in_force_s, self._quarantine_until
+        )
         for key in [*wanted, *(self._rights.keys() - wanted.keys())]:
             self._set_right(key, wanted.get(key, NO_SHARE), grow_at, now)
         self._settle(now)
@@ -339,8 +340,9 @@
         ):
             right.growth = _Growth(grow_at, share)
         else:
-            # Less than what was to come: the time that has passed counts.
+            # No more than what was to come: the time since then counts.
             right.growth.share = share
+            right.growth.at = min(right.growth.at, grow_at)
 
     def _settle(self, now):
         for lease in [*self._leases.values(), *self._ended]:
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -15,7 +15,7 @@
 
 def make_lender(units=frozenset(), start=0.0):
     lender = rights.Lender('a', start)
-    lender.set_rights({'w': SHARE}, units, start)
+    lender.set_rights({'w': SHARE}, units, start, in_force_s=60.0)
     return lender
 
 
@@ -237,10 +237,16 @@
         # to it is the older version. It arrives after the newer one, which
         # took the unit away, was acknowledged and has ended.
         self.link.exchange(FULL)
-        late = self.link.ask(FULL + 2)
-        self.link.owns = False
-        grant = self.link.ask(FULL + 2)
+        request = self.link.borrower.make_request('a')
+        owned = frozenset({'w'}), frozenset({'orders'})
+        smaller = {'w': (MICRO, MICRO)}
+        self.lender.set_rights(smaller, frozenset({UNIT}), FULL + 2)
+        late = self.lender.grant(request, *owned, FULL + 2)
+        self.assertIn(UNIT, late.items)
+        nothing = frozenset(), frozenset()
+        grant = self.lender.grant(request, *nothing, FULL + 2)
         self.link.accept(grant, FULL + 1, FULL + 2)
+        self.link.owns = False
         self.link.ask(FULL + 2.5)
         successor = Link(self.lender, 'c')
         successor.exchange(FULL + 4.5)
@@ -310,7 +316,7 @@
         other = messages.SlotUnit('orders', '10.0.0.1:80', 1)
         at = FULL + 1 + rights.GROWTH_DELAY_S
         self.lender.set_rights(larger, frozenset({UNIT, other}), FULL + 1)
-        for second in range(1, 6):
+        for second in range(1, 9):
             self.link.exchange(FULL + second)
         self.link.exchange(at - 0.1)
         self.assertEqual(self.link.take_all(at - 0.1), 6)
@@ -322,7 +328,7 @@
     def test_repeated_settings_do_not_postpone_growth(self):
         larger = {'w': (4 * MICRO, 12 * MICRO)}
         at = FULL + 1 + rights.GROWTH_DELAY_S
-        for second in range(1, 6):
+        for second in range(1, 9):
             now = FULL + second
             self.lender.set_rights(larger, frozenset({UNIT}), now)
             self.link.exchange(now)
--- /dev/null
+++ b/tests/test_rights_fleet.py
@@ -0,0 +1,583 @@
+"""Tests of the conservation of rights over a faulty fleet."""
+
+import os
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lavenderstile import rates
+from lavenderstile import rights
+from tests.standins import rights_fleet
+
+EXAMPLES = os.environ.get('LAVENDERSTILE_HYPOTHESIS_EXAMPLES')
+SETTINGS = hypothesis.settings(
+    max_examples=int(EXAMPLES or 150),
+    stateful_step_count=60,
+    derandomize=EXAMPLES is None,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+HOST_COUNT = 3
+HOSTS = strategies.integers(0, HOST_COUNT - 1)
+INDEXES = strategies.integers(0, 1000)
+# A lender that holds for 10% longer than the lease must cope with these.
+CLOCK_RATES = strategies.floats(1 / 1.0999, 1.0)
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Random schedules of messages, faults, restarts and use."""
+
+    lender_class = rights.Lender
+    borrower_class = rights.Borrower
+
+    @stateful.initialize(
+        clock_rates=strategies.tuples(*[CLOCK_RATES] * HOST_COUNT)
+    )
+    def set_up(self, clock_rates):
+        self.fleet = rights_fleet.RightsFleet(
+            clock_rates, self.lender_class, self.borrower_class
+        )
+        # Past the start, so that schedules begin with full buckets.
+        self.fleet.advance(12)
+        self.fleet.exchange_all()
+
+    @stateful.rule(seconds=strategies.sampled_from((0.1, 0.5, 1, 2, 3, 4)))
+    def advance(self, seconds):
+        self.fleet.advance(seconds)
+
+    @stateful.rule(seconds=strategies.integers(1, 6))
+    def run_quietly(self, seconds):
+        for _ in range(seconds):
+            self.fleet.advance(1)
+            self.fleet.exchange_all()
+
+    @stateful.rule(host=HOSTS, lender=HOSTS)
+    def ask(self, host, lender):
+        self.fleet.ask(self.fleet.hosts[host], self.fleet.hosts[lender])
+
+    @stateful.rule(host=HOSTS, lender=HOSTS)
+    def exchange(self, host, lender):
+        self.fleet.exchange(self.fleet.hosts[host], self.fleet.hosts[lender])
+
+    @stateful.precondition(lambda self: self.fleet.in_flight)
+    @stateful.rule(index=INDEXES, keep=strategies.booleans())
+    def deliver(self, index, keep):
+        self.fleet.deliver(index % len(self.fleet.in_flight), keep)
+
+    @stateful.precondition(lambda self: self.fleet.in_flight)
+    @stateful.rule(index=INDEXES)
+    def lose(self, index):
+        self.fleet.lose(index % len(self.fleet.in_flight))
+
+    @stateful.rule(source=HOSTS, receiver=HOSTS)
+    def cut_or_heal(self, source, receiver):
+        addresses = self.fleet.addresses
+        if source != receiver:
+            self.fleet.cuts ^= {(addresses[source], addresses[receiver])}
+
+    @stateful.rule(host=HOSTS, other=HOSTS)
+    def change_view(self, host, other):
+        self.fleet.hosts[host].view ^= {self.fleet.addresses[other]}
+
+    @stateful.rule(host=HOSTS)
+    def pause_or_resume(self, host):
+        host = self.fleet.hosts[host]
+        if host.is_paused:
+            self.fleet.resume(host)
+        else:
+            self.fleet.pause(host)
+
+    @stateful.rule(host=HOSTS)
+    def restart(self, host):
+        self.fleet.restart(self.fleet.hosts[host])
+
+    @stateful.rule(host=HOSTS)
+    def replace(self, host):
+        self.fleet.replace(self.fleet.hosts[host])
+
+    @stateful.rule(host=HOSTS)
+    def stop(self, host):
+        self.fleet.stop(self.fleet.hosts[host])
+
+    @stateful.rule(rate=strategies.sampled_from((3.0, 6.0, 12.0)))
+    def change_rate(self, rate):
+        self.fleet.publish(rate=rate, burst=rate * 1.5)
+
+    @stateful.rule(count=strategies.integers(1, HOST_COUNT))
+    def change_addresses(self, count):
+        self.fleet.publish(addresses=self.fleet.addresses[:count])
+
+    @stateful.rule(host=HOSTS)
+    def learn(self, host):
+        self.fleet.learn(self.fleet.hosts[host])
+
+    @stateful.rule(host=HOSTS, count=strategies.integers(1, 20))
+    def take(self, host, count):
+        self.fleet.take(self.fleet.hosts[host].process, count)
+
+    @stateful.rule()
+    def take_all(self):
+        self.fleet.take_all()
+
+    @stateful.invariant()
+    def check_units(self):
+        if hasattr(self, 'fleet'):
+            self.fleet.check_units()
+
+
+def start_fleet(lender_class=rights.Lender, borrower_class=rights.Borrower):
+    """Return a fleet whose rights are all lent to the owner, host h0.
+
+    The owner's clock is the slowest that the lenders allow for.
+    """
+    fleet = rights_fleet.RightsFleet(
+        (1 / 1.0999, 1.0, 1.0), lender_class, borrower_class
+    )
+    fleet.advance(12)
+    fleet.exchange_all()
+    return fleet
+
+
+def isolate(*hosts):
+    """Let hosts see only themselves, so that they own everything."""
+    for host in hosts:
+        host.view = {host.address}
+
+
+def use_for(fleet, seconds, exchanges=()):
+    """Take all tokens in steps of 0.1 s between exchanges."""
+    for _ in range(round(seconds * 10)):
+        fleet.advance(0.1)
+        for host, lender in exchanges:
+            fleet.exchange(host, lender)
+        fleet.take_all()
+        fleet.check_units()
+
+
+def change_items(fleet, lender):
+    """Change a lender's shares, so that its next grant lists them all."""
+    fleet.publish(rate=5.9)
+    fleet.learn(lender)
+
+
+def let_lease_end(fleet):
+    """A lender takes its rights back from an owner that it lost."""
+    _, lender, _ = fleet.hosts
+    isolate(lender)
+    use_for(fleet, 6, [(lender, lender)])
+
+
+def fill_while_lent(fleet):
+    """An owner that saved its tokens spends them as its leases end."""
+    owner, lender, other = fleet.hosts
+    isolate(lender, other)
+    fleet.advance(3.25)
+    fleet.take_all()
+    use_for(fleet, 1, [(lender, lender), (other, other)])
+
+
+def restart_lender(fleet):
+    """A lender restarts while its rights are lent."""
+    _, lender, _ = fleet.hosts
+    isolate(lender)
+    fleet.restart(lender)
+    use_for(fleet, 9, [(lender, lender)])
+
+
+def repeat_grant(fleet):
+    """A grant with tokens arrives again after they were spent."""
+    owner, lender, other = fleet.hosts
+    fleet.advance(12)
+    for host in (lender, other):
+        fleet.ask(owner, host)
+        fleet.deliver(-1)
+    for _ in range(3):
+        for index in range(2):
+            fleet.deliver(index, keep=True)
+        fleet.take_all()
+
+
+def delay_reply(fleet):
+    """A reply arrives just before its lease ends at the lender."""
+    owner, lender, _ = fleet.hosts
+    fleet.ask(owner, lender)
+    fleet.deliver(-1)
+    fleet.advance(2.9)
+    fleet.deliver(-1)
+    isolate(lender)
+    use_for(fleet, 2, [(lender, lender)])
+
+
+def reorder_replies(fleet):
+    """An older item list arrives after the newer one has ended."""
+    owner, lender, _ = fleet.hosts
+    fleet.advance(0.1)
+    fleet.ask(owner, lender)
+    fleet.advance(0.5)
+    fleet.ask(owner, lender)
+    change_items(fleet, lender)
+    fleet.deliver(1)
+    isolate(lender)
+    fleet.deliver(0)
+    fleet.deliver(1)
+    fleet.ask(owner, lender)
+    fleet.deliver(1)
+    fleet.exchange(lender, lender)
+    fleet.check_units()
+    fleet.advance(1.5)
+    fleet.exchange(lender, lender)
+    fleet.advance(1.75)
+    fleet.exchange(owner, owner)
+    fleet.deliver(0)
+    fleet.check_units()
+
+
+def change_owner(fleet):
+    """A lender sees another owner while it reaches the former one."""
+    owner, lender, _ = fleet.hosts
+    isolate(lender)
+    fleet.ask(owner, lender)
+    fleet.deliver(-1)
+    fleet.exchange(lender, lender)
+    fleet.check_units()
+
+
+def replace_borrower(fleet):
+    """An owner is replaced while its earlier process is paused."""
+    fleet.replace(fleet.hosts[0])
+    fleet.exchange_all()
+    fleet.check_units()
+
+
+def change_addresses(fleet):
+    """Rights move to another home while the former one learns it late."""
+    owner, home, lender = fleet.hosts
+    fleet.publish(addresses=(home.address,))
+    fleet.learn(home)
+    isolate(home)
+    use_for(fleet, 4.9, [(owner, owner), (owner, lender), (home, home)])
+    use_for(fleet, 7, [(home, home)])
+
+
+def add_address(fleet):
+    """An address joins the fleet with a new process."""
+    owner, lender, joining = fleet.hosts
+    fleet.publish(addresses=(owner.address, lender.address))
+    use_for(fleet, 12, [(owner, owner), (owner, lender)])
+    fleet.publish(addresses=fleet.addresses)
+    fleet.restart(joining)
+    isolate(joining)
+    use_for(fleet, 4.9, [(owner, lender), (owner, owner), (joining, joining)])
+    use_for(fleet, 7, [(joining, joining)])
+
+
+def wake_after_pause(fleet):
+    """An owner wakes after its leases have ended."""
+    owner, lender, other = fleet.hosts
+    fleet.pause(owner)
+    isolate(lender, other)
+    for _ in range(60):
+        fleet.advance(0.1)
+        fleet.exchange_all()
+    fleet.resume(owner)
+    fleet.take_all()
+    fleet.check_units()
+
+
+def return_twice(fleet):
+    """A return is delivered again after its rights were lent anew."""
+    owner, lender, other = fleet.hosts
+    fleet.publish(addresses=(lender.address, other.address))
+    for _ in range(20):
+        fleet.advance(1)
+        fleet.exchange_all()
+    fleet.stop(owner)
+    isolate(lender, other)
+    for index in range(2):
+        fleet.deliver(index, keep=True)
+    for host in (lender, other):
+        fleet.exchange(host, host)
+    fleet.take_all()
+    lender.view = {lender.address, other.address}
+    for index in range(2):
+        fleet.deliver(index, keep=True)
+    fleet.exchange(other, lender)
+    fleet.take_all()
+    fleet.check_units()
+
+
+def save_tokens(fleet):
+    """An owner saves its tokens while most of its leases end."""
+    owner, lender, other = fleet.hosts
+    isolate(lender, other)
+    for _ in range(9):
+        fleet.advance(1)
+        for host in fleet.hosts:
+            fleet.exchange(host, host)
+    fleet.take_all()
+
+
+def stop_with_late_reply(fleet):
+    """A grant arrives at an owner that has given everything back."""
+    owner, lender, _ = fleet.hosts
+    change_items(fleet, lender)
+    fleet.ask(owner, lender)
+    fleet.deliver(-1)
+    fleet.stop(owner)
+    isolate(lender)
+    for message in fleet.in_flight[1:]:
+        fleet.deliver(fleet.in_flight.index(message))
+    fleet.exchange(lender, lender)
+    fleet.deliver(0)
+    fleet.check_units()
+
+
+def acknowledge_after_restart(fleet):
+    """A request from before a lender's restart arrives after it."""
+    owner, lender, _ = fleet.hosts
+    for _ in range(3):
+        lender.view ^= {owner.address}
+        fleet.exchange(owner, lender)
+        fleet.exchange(owner, lender)
+    fleet.ask(owner, lender)
+    fleet.restart(lender)
+    lender.view = set(fleet.addresses)
+    for _ in range(5):
+        fleet.advance(1)
+        fleet.exchange(owner, lender)
+    isolate(lender)
+    fleet.ask(owner, lender)
+    fleet.deliver(1)
+    fleet.deliver(0)
+    fleet.exchange(lender, lender)
+    fleet.check_units()
+
+
+SCENARIOS = (
+    let_lease_end,
+    fill_while_lent,
+    restart_lender,
+    repeat_grant,
+    delay_reply,
+    reorder_replies,
+    change_owner,
+    replace_borrower,
+    change_addresses,
+    add_address,
+    wake_after_pause,
+    return_twice,
+    save_tokens,
+    stop_with_late_reply,
+    acknowledge_after_restart,
+)
+
+
+class NoQuarantineLender(rights.Lender):
+    """Lends at once after its start."""
+
+    def __init__(self, address, now):
+        super().__init__(address, now)
+        self._quarantine_until = now
+
+
+class ShortHoldLender(rights.Lender):
+    """Holds for less than the lease lasts."""
+
+    def grant(self, request, workspaces, services, now):
+        grant = super().grant(request, workspaces, services, now)
+        for lease in self._leases.values():
+            lease.until = min(lease.until, now + 2.0)
+        return grant
+
+
+class NoDriftMarginLender(rights.Lender):
+    """Holds for as long as the lease lasts, on its own clock."""
+
+    def grant(self, request, workspaces, services, now):
+        grant = super().grant(request, workspaces, services, now)
+        for lease in self._leases.values():
+            lease.until = min(lease.until, now + rights.LEASE_DURATION_S)
+        return grant
+
+
+class FullBucketLender(rights.Lender):
+    """Starts with a full bucket after a lease has ended."""
+
+    def _settle(self, now):
+        lent = {key for key, right in self._rights.items() if right.lease}
+        super()._settle(now)
+        for key in lent & self._rights.keys():
+            if isinstance(key, str) and self._rights[key].lease is None:
+                self._rights[key].bucket.put(self._rights[key].share[1])
+
+
+class UnacknowledgedLender(rights.Lender):
+    """Lends a right anew without waiting for its last borrower."""
+
+    def _update_items(self, lease, workspaces, services, now):
+        super()._update_items(lease, workspaces, services, now)
+        self._acknowledge(lease, lease.version, now)
+
+
+class TrustingLender(rights.Lender):
+    """Takes a borrower's new incarnation as proof of its old one's end."""
+
+    def _find_lease(self, request):
+        lease = super()._find_lease(request)
+        for ended in [*self._ended]:
+            self._forget_lease(ended)
+            for key in ended.holds():
+                self._rights[key].come_home(0.0, 0)
+        return lease
+
+
+class PromptGrowthLender(rights.Lender):
+    """Grows when the change has spread, with older leases still out."""
+
+    def set_rights(self, shares, units, now, in_force_s=0.0):
+        super().set_rights(
+            shares, units, now, in_force_s + rights.LENDER_HOLD_S
+        )
+
+
+class UndelayedStartLender(rights.Lender):
+    """Takes the state that it starts with for one long in force."""
+
+    def set_rights(self, shares, units, now, in_force_s=0.0):
+        if not self._rights:
+            in_force_s = rights.GROWTH_DELAY_S
+        super().set_rights(shares, units, now, in_force_s)
+
+
+class ReusedLeaseIdLender(rights.Lender):
+    """Numbers its leases from 1 after each start."""
+
+    def __init__(self, address, now):
+        super().__init__(address, now)
+        self._last_lease_id = 0
+
+
+class DoubleReturnLender(rights.Lender):
+    """Takes returned tokens whether or not it waits for them."""
+
+    def take_back(self, rights_return, now):
+        super().take_back(rights_return, now)
+        for item in rights_return.tokens:
+            right = self._rights[item.workspace]
+            if right.lease is not None:
+                right.come_home(now, item.tokens_micro)
+
+
+class RepeatedTokensBorrower(rights.Borrower):
+    """Counts a grant's tokens each time that it arrives."""
+
+    def accept(self, lender, lender_incarnation, sent_at, grant, now):
+        if grant.items is not None:
+            self._holdings.pop(lender, None)
+        super().accept(lender, lender_incarnation, sent_at, grant, now)
+
+
+class ArrivalBorrower(rights.Borrower):
+    """Counts the lease from the arrival of the grant."""
+
+    def accept(self, lender, lender_incarnation, sent_at, grant, now):
+        super().accept(lender, lender_incarnation, now, grant, now)
+
+
+class ForgetfulBorrower(rights.Borrower):
+    """Forgets a lease's version when the lease has ended."""
+
+    def _drop_ended(self, now):
+        super()._drop_ended(now)
+        ended = [
+            lender
+            for lender, holding in self._holdings.items()
+            if not holding.is_active
+        ]
+        for lender in ended:
+            del self._holdings[lender]
+
+
+class UncheckedBorrower(rights.Borrower):
+    """Does not look at the clock before it uses a right."""
+
+    def take_token(self, workspace, now):
+        if workspace in self._pools:
+            self._pools[workspace]._check_at = float('inf')
+        return super().take_token(workspace, now)
+
+    def units(self, service, now):
+        return super().units(service, 0.0)
+
+
+class KeptLevelBucket(rates.Bucket):
+    """Keeps tokens above its capacity."""
+
+    __slots__ = ()
+
+    def _add(self, tokens_micro):
+        grown = min(self._level_micro + tokens_micro, self._capacity_micro)
+        self._level_micro = max(self._level_micro, grown)
+
+
+class KeptLevelBorrower(rights.Borrower):
+    """Keeps the tokens of shares that leave a pool."""
+
+    def _add_item(self, lender, holding, item, tokens_micro, now):
+        super()._add_item(lender, holding, item, tokens_micro, now)
+        for pool in self._pools.values():
+            pool.bucket.__class__ = KeptLevelBucket
+
+
+class RestlessBorrower(rights.Borrower):
+    """Goes on borrowing after it has given everything back."""
+
+    def make_returns(self, now):
+        returns = super().make_returns(now)
+        self._is_stopped = False
+        return returns
+
+
+WEAKENED = {
+    NoQuarantineLender: restart_lender,
+    ShortHoldLender: let_lease_end,
+    NoDriftMarginLender: let_lease_end,
+    FullBucketLender: fill_while_lent,
+    UnacknowledgedLender: change_owner,
+    TrustingLender: replace_borrower,
+    PromptGrowthLender: change_addresses,
+    UndelayedStartLender: add_address,
+    ReusedLeaseIdLender: acknowledge_after_restart,
+    DoubleReturnLender: return_twice,
+    RepeatedTokensBorrower: repeat_grant,
+    ArrivalBorrower: delay_reply,
+    ForgetfulBorrower: reorder_replies,
+    UncheckedBorrower: wake_after_pause,
+    KeptLevelBorrower: save_tokens,
+    RestlessBorrower: stop_with_late_reply,
+}
+
+
+class ConservationTest(unittest.TestCase):
+    """Guards against rates exceeded, or slots used twice, over the fleet."""
+
+    def test_no_schedule_uses_a_right_twice(self):
+        stateful.run_state_machine_as_test(FleetMachine, settings=SETTINGS)
+
+    def test_no_scenario_uses_a_right_twice(self):
+        for scenario in SCENARIOS:
+            scenario(start_fleet())
+
+    def test_oracle_finds_each_weakening(self):
+        # A check that passes on weakened code would prove nothing.
+        for weakened, scenario in WEAKENED.items():
+            is_lender = issubclass(weakened, rights.Lender)
+            role = 'lender_class' if is_lender else 'borrower_class'
+            fleet = start_fleet(**{role: weakened})
+            with self.assertRaises(
+                rights_fleet.ViolationError, msg=weakened.__name__
+            ):
+                scenario(fleet)
