Choose targets by the share of their usable units in use

Cause: placement preferred the target with the most free units. A target in cold start has one usable unit, so at low load it was never chosen and never became warm; a failure domain that came back got no work. Ruled out: the configuration (the domain was in service on all hosts) and the ramp (its limit was 1, with no request running).

Before: test_a_cold_domain_becomes_warm_at_low_load chose none of the two cold targets in 60 requests, and the fleet test waited 60 s in vain. After: both pass. Conclusion: the share in use treats idle targets alike, and the least recently used one comes first.

--- a/lavenderstile/placement.py
+++ b/lavenderstile/placement.py
@@ -79,7 +79,7 @@
             key = (
                 state.target.domain in request.excluded_domains,
                 state.draining,
-                -len(units),
+                self._share_in_use(state, units),
                 shares[state.target.domain],
                 state.last_grant,
             )
@@ -87,6 +87,16 @@
                 best, best_key = (state, units[0]), key
         return best
 
+    def _share_in_use(self, state, free_units):
+        """Return the share of a target's usable units that are in use.
+
+        Comparing counts of free units instead would never choose a cold
+        target, which has few, while others are idle, so that it would
+        never become warm.
+        """
+        running = self._table.running(state.address)
+        return running / (running + len(free_units))
+
     def _choose_isolated(self, request, suspect_targets, now):
         """Choose a target for a request that may crash it.
 
