--- a/tests/standins/demo.py
+++ b/tests/standins/demo.py
@@ -119,6 +119,8 @@
         show('graceful shutdown of the first host (SIGTERM)')
         status = await self._fleet.hosts[0].process.stop()
         print(f'exit status {status}')
+        if status:
+            raise SystemExit('the graceful shutdown failed')
         show('SIGKILL of the second host; the third one still answers')
         await self._fleet.hosts[1].process.kill()
         print(describe(await self.call(2, 'GET', '/heats/1')))
