--- a/lavenderstile/pools.py
+++ b/lavenderstile/pools.py
@@ -7,6 +7,8 @@
 import asyncio
 import collections
 import contextlib
+import select
+import socket
 import ssl
 
 import httpx
@@ -25,6 +27,10 @@
 # response body takes; the kernel doubles this value.
 RECEIVE_BUFFER_BYTES = 32 * 1024
 
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+)
+
 # Targets are reached in clear text, so this context is never used; it is
 # shared because loading certificates takes milliseconds per transport.
 _TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
@@ -34,6 +40,16 @@
 )
 
 
+def make_transport():
+    """Return a transport for at most one connection."""
+    return httpx.AsyncHTTPTransport(
+        verify=_TLS_CONTEXT,
+        trust_env=False,
+        limits=_LIMITS,
+        socket_options=_SOCKET_OPTIONS,
+    )
+
+
 class Connection:
     """One connection to a target, opened by its first request."""
 
@@ -43,7 +59,7 @@
         'last_used',
         'number',
         'uses',
-        '_stream',
+        '_socket',
         '_transport',
     )
 
@@ -53,10 +69,8 @@
         self.last_used = now
         self.is_connected = False
         self.uses = 0
-        self._stream = None
-        self._transport = httpx.AsyncHTTPTransport(
-            verify=_TLS_CONTEXT, trust_env=False, limits=_LIMITS
-        )
+        self._socket = None
+        self._transport = make_transport()
 
     @property
     def is_reused(self):
@@ -72,10 +86,16 @@
         return (
             now - self.created < MAX_AGE_S
             and now - self.last_used < MAX_IDLE_S
-            and self._stream is not None
-            and not self._stream.get_extra_info('is_readable')
+            and self._is_quiet()
         )
 
+    def _is_quiet(self):
+        if self._socket is None or self._socket.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return not poll.poll(0)
+
     async def send(self, request):
         """Send a request and return the response, its body unread."""
         if not self.is_connected:
@@ -84,7 +104,8 @@
 
     async def _trace(self, name, info):
         if name == 'connection.connect_tcp.complete':
-            self._stream = info['return_value']
+            stream = info['return_value']
+            self._socket = stream.get_extra_info('socket')
             self.is_connected = True
 
     async def close(self):
--- /dev/null
+++ b/tools/measure_forwarding.py
@@ -0,0 +1,257 @@
+"""Measures the cost of a call to a target over variants of httpx.
+
+    python -m tools.measure_forwarding --calls 4000 --rounds 3
+
+The targets are stand-ins in processes of their own, so the processor time
+is that of the calling side alone. A direct call writes a prepared request
+to an asyncio stream and reads the answer.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import random
+import ssl
+import statistics
+import time
+
+from hdrh import histogram
+import httpx
+
+from lavenderstile import clocks
+from lavenderstile import forwarding
+from tests.standins import fleet
+
+# Connections per target in every variant.
+CONNECTIONS = 8
+
+DEADLINE_S = 30.0
+
+HEADERS = [
+    (b'accept', b'*/*'),
+    (b'user-agent', b'measure'),
+    (b'x-forwarded-for', b'192.0.2.1'),
+    (b'cookie', b'session=0123456789abcdef'),
+]
+
+
+class Direct:
+    """A prepared request on an asyncio stream."""
+
+    def __init__(self, addresses):
+        self._idle = {address: [] for address in addresses}
+
+    async def call(self, address, number):
+        """Send a request and read its answer."""
+        idle = self._idle[address]
+        if idle:
+            reader, writer = idle.pop()
+        else:
+            host, port = address.split(':')
+            reader, writer = await asyncio.open_connection(host, port)
+        head = [b'GET /item HTTP/1.1', b'host: ' + address.encode()]
+        head += [b': '.join(pair) for pair in HEADERS]
+        head += [b'x-request-id: %d' % number, b'', b'']
+        writer.write(b'\r\n'.join(head))
+        answer = await reader.readuntil(b'\r\n\r\n')
+        length = answer.lower().split(b'content-length: ')[1].split(b'\r')[0]
+        await reader.readexactly(int(length))
+        idle.append((reader, writer))
+
+    async def close(self):
+        """Close the connections."""
+        for idle in self._idle.values():
+            for _, writer in idle:
+                writer.close()
+
+
+class Client:
+    """httpx clients, one per target or one shared by all."""
+
+    def __init__(self, addresses, is_shared):
+        count = len(addresses) if is_shared else 1
+        shared = self._make(count) if is_shared else None
+        self._clients = {
+            address: shared or self._make(count) for address in addresses
+        }
+
+    def _make(self, count):
+        limit = CONNECTIONS * count
+        return httpx.AsyncClient(
+            trust_env=False,
+            timeout=DEADLINE_S,
+            limits=httpx.Limits(
+                max_connections=limit, max_keepalive_connections=limit
+            ),
+        )
+
+    async def call(self, address, number):
+        """Send a request and read its answer."""
+        async with self._clients[address].stream(
+            'GET',
+            f'http://{address}/item',
+            headers=[*HEADERS, (b'x-request-id', b'%d' % number)],
+        ) as response:
+            async for _ in response.aiter_raw():
+                pass
+
+    async def close(self):
+        """Close the connections."""
+        for client in set(self._clients.values()):
+            await client.aclose()
+
+
+class Transport:
+    """Bare httpx transports, one per target."""
+
+    def __init__(self, addresses):
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        limits = httpx.Limits(
+            max_connections=CONNECTIONS, max_keepalive_connections=CONNECTIONS
+        )
+        self._transports = {
+            address: httpx.AsyncHTTPTransport(
+                verify=context, trust_env=False, limits=limits
+            )
+            for address in addresses
+        }
+        self._urls = {
+            address: httpx.URL(f'http://{address}') for address in addresses
+        }
+
+    async def call(self, address, number):
+        """Send a request and read its answer."""
+        request = httpx.Request(
+            'GET',
+            self._urls[address],
+            headers=[
+                *HEADERS,
+                (b'host', address.encode()),
+                (b'x-request-id', b'%d' % number),
+            ],
+            stream=httpx.ByteStream(b''),
+            extensions={'target': b'/item'},
+        )
+        response = await self._transports[address].handle_async_request(
+            request
+        )
+        async for _ in response.stream:
+            pass
+        await response.stream.aclose()
+
+    async def close(self):
+        """Close the connections."""
+        for transport in self._transports.values():
+            await transport.aclose()
+
+
+class Whole:
+    """The forwarder of this package."""
+
+    def __init__(self, addresses):
+        self._clock = clocks.Clock()
+        self._forwarder = forwarding.Forwarder(self._clock, CONNECTIONS)
+
+    async def call(self, address, number):
+        """Send a request and read its answer."""
+        async with self._forwarder.open(
+            address,
+            'GET',
+            b'/item',
+            HEADERS,
+            request_id=str(number),
+            deadline=self._clock.now() + DEADLINE_S,
+        ) as response:
+            async for _ in response:
+                pass
+
+    async def close(self):
+        """Close the connections."""
+        await self._forwarder.close()
+
+
+VARIANTS = {
+    'direct': Direct,
+    'shared client': lambda addresses: Client(addresses, True),
+    'client per target': lambda addresses: Client(addresses, False),
+    'transport per target': Transport,
+    'forwarder': Whole,
+}
+
+
+async def measure(make, addresses, options):
+    """Return processor time per call and the latencies of one variant."""
+    variant = make(addresses)
+    choices = random.Random(options.seed)
+    latencies = histogram.HdrHistogram(1, 60_000_000, 3)
+    numbers = iter(range(options.calls))
+
+    async def work():
+        for number in numbers:
+            address = choices.choice(addresses)
+            started = time.perf_counter()
+            await variant.call(address, number)
+            taken_s = time.perf_counter() - started
+            latencies.record_value(max(1, round(taken_s * 1e6)))
+
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(variant.close)
+        for address in addresses * CONNECTIONS:
+            await variant.call(address, 0)
+        started = time.process_time()
+        async with asyncio.TaskGroup() as group:
+            for _ in range(options.concurrency):
+                group.create_task(work())
+        processor_s = time.process_time() - started
+    return processor_s / options.calls, latencies
+
+
+async def run(options):
+    """Measure every variant in turn and print the figures."""
+    results = {name: [] for name in VARIANTS}
+    async with fleet.run_fleet(0, options.targets) as running:
+        for target in running.targets:
+            await running.control(target.url, 'behaviour', {'slots': 1000})
+        addresses = [target.address for target in running.targets]
+        for _ in range(options.rounds):
+            for name, make in VARIANTS.items():
+                result = await measure(make, addresses, options)
+                results[name].append(result)
+    print_results(results)
+
+
+def print_results(results):
+    """Print medians over the rounds, latencies over a direct call."""
+    base = {}
+    print(
+        f'{"variant":<22}{"cpu us":>8}{"p50 us":>8}{"p99 us":>8}'
+        f'{"p50 added":>11}{"p99 added":>11}'
+    )
+    for name, rounds in results.items():
+        cpu = statistics.median(cpu for cpu, _ in rounds) * 1e6
+        cells = f'{name:<22}{cpu:>8.0f}'
+        added = ''
+        for percentile in (50, 99):
+            value = statistics.median(
+                found.get_value_at_percentile(percentile)
+                for _, found in rounds
+            )
+            base.setdefault(percentile, value)
+            cells += f'{value:>8.0f}'
+            added += f'{value - base[percentile]:>11.0f}'
+        print(cells + added)
+
+
+def main():
+    """Measure from the command line."""
+    parser = argparse.ArgumentParser(description='Cost of a call')
+    parser.add_argument('--calls', type=int, default=4000)
+    parser.add_argument('--rounds', type=int, default=3)
+    parser.add_argument('--targets', type=int, default=4)
+    parser.add_argument('--concurrency', type=int, default=4)
+    parser.add_argument('--seed', type=int, default=1)
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
