--- a/lavenderstile/daemon.py
+++ b/lavenderstile/daemon.py
@@ -30,6 +30,7 @@
 from . import peer_exchange
 from . import peers
 from . import platform_client
+from . import probe_task
 from . import readiness
 from . import serving
 from . import settings as settings_module
@@ -137,6 +138,9 @@
             self._slots.running_reports, lambda: self.readiness.may_own
         )
         self._owner.set_running_source(self._slots.own_running)
+        self._probes = probe_task.ProbeTask(
+            self._clock, self.configuration, self._owner
+        )
         self._admin_listener = serving.Listener(
             admin.create_admin_application(self), settings.listen.admin
         )
@@ -239,6 +243,7 @@
             self._host_list.run(),
             self._forwarder.run(),
             self._limit_connections(),
+            self._probes.run(),
             self._watch_time(),
         )
 
