Split large workspaces over several owners and measure the rates

Cause: the death of a workspace's only owner refuses all of its requests until the leases end.

Change: list_owners and find_owner spread a workspace's lenders over up to 4 owners, one per 12 tokens of burst. The fleet tests check after every random schedule that the healed fleet gets its whole rate and all units back. A simulated load measures refusals.

--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -24,6 +24,12 @@
 # change and the leases that they granted before have ended.
 GROWTH_DELAY_S = SPREAD_LIMIT_S + LENDER_HOLD_S
 
+# Most pools of one workspace, and the least burst for each. With four pools
+# an owner's death refuses less than a tenth of what it refuses with one. A
+# pool that holds fewer tokens refuses requests inside the rate.
+MAX_OWNERS = 4
+OWNER_BURST = 12
+
 # Shares are pairs of rate and burst in millionths.
 NO_SHARE = (0, 0)
 # Share of a slot unit that is homed here, in the form of a rate's share.
@@ -76,6 +82,25 @@
     return hashing.top(item, fleet_addresses)
 
 
+def list_owners(workspace, members):
+    """Return the owners of a workspace's pools among the live `members`.
+
+    A workspace with a large burst has several pools, so that the death of
+    an owner takes only a part of its rate until the leases end.
+    """
+    count = max(1, min(MAX_OWNERS, int(workspace.burst // OWNER_BURST)))
+    return hashing.rank(workspace.name, members)[:count]
+
+
+def find_owner(workspace, address, members):
+    """Return the owner that host `address` lends to, and asks first.
+
+    When an owner is lost, only its own lenders move to another.
+    """
+    owners = list_owners(workspace, members)
+    return hashing.top(f'{workspace.name}\0{address}', owners)
+
+
 class _Growth:
     """A larger share that applies at `at`."""
 
--- a/tests/standins/rights_fleet.py
+++ b/tests/standins/rights_fleet.py
@@ -281,6 +281,16 @@
         host.is_paused = False
         self._learn_overdue()
 
+    def heal(self):
+        """End all faults; a host that gave its rights back is replaced."""
+        self.cuts.clear()
+        for host in self.hosts:
+            host.view = set(self.addresses)
+            if host.is_paused:
+                self.resume(host)
+            if host.process.borrower.dump(host.now())['stopped']:
+                self.restart(host)
+
     def runs(self, host):
         return not host.is_paused and not host.process.is_stopped
 
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -81,6 +81,50 @@
         self.assertEqual(len(frozenset().union(*homes)), 36)
 
 
+class OwnersTest(unittest.TestCase):
+    """Guards against owners that move without need, or pools too small."""
+
+    MEMBERS = SharesTest.ADDRESSES
+
+    def make_workspace(self, burst):
+        return models.Workspace('w', (), rate=100.0, burst=burst)
+
+    def test_number_of_owners_follows_the_burst(self):
+        for burst, count in ((0, 1), (23, 1), (24, 2), (48, 4), (500, 4)):
+            owners = rights.list_owners(
+                self.make_workspace(burst), self.MEMBERS
+            )
+            self.assertEqual(len(owners), count)
+
+    def test_small_fleet_has_fewer_owners(self):
+        workspace = self.make_workspace(500)
+        self.assertEqual(rights.list_owners(workspace, ['a']), ['a'])
+        self.assertIsNone(rights.find_owner(workspace, 'a', []))
+
+    def test_each_owner_gets_lenders(self):
+        workspace = self.make_workspace(500)
+        found = {
+            rights.find_owner(workspace, address, self.MEMBERS)
+            for address in self.MEMBERS
+        }
+        owners = rights.list_owners(workspace, self.MEMBERS)
+        self.assertEqual(found, set(owners))
+
+    def test_losing_an_owner_moves_only_its_lenders(self):
+        workspace = self.make_workspace(500)
+        lost = rights.list_owners(workspace, self.MEMBERS)[1]
+        rest = [member for member in self.MEMBERS if member != lost]
+        new = (
+            set(rights.list_owners(workspace, rest))
+            - set(rights.list_owners(workspace, self.MEMBERS))
+        ).pop()
+        for address in rest:
+            before = rights.find_owner(workspace, address, self.MEMBERS)
+            after = rights.find_owner(workspace, address, rest)
+            if before != lost:
+                self.assertIn(after, (before, new))
+
+
 class QuarantineTest(unittest.TestCase):
     """Guards against a restarted lender that lends what is still lent."""
 
--- a/tests/test_rights_fleet.py
+++ b/tests/test_rights_fleet.py
@@ -1,5 +1,6 @@
 """Tests of the conservation of rights over a faulty fleet."""
 
+import itertools
 import os
 import unittest
 
@@ -22,9 +23,13 @@
 )
 HOST_COUNT = 3
 HOSTS = strategies.integers(0, HOST_COUNT - 1)
-INDEXES = strategies.integers(0, 1000)
+# Positions in the list of messages in flight: oldest, newest, or any.
+POSITIONS = strategies.sampled_from((0, -1, 1, 2, 3, 5, 8))
+# Steps just short of a lease's end and just past it, for the fastest and
+# the slowest clock, besides ordinary ones.
+STEPS_S = strategies.sampled_from((0.1, 0.5, 1.0, 2.9, 3.05, 3.25, 3.35))
 # A lender that holds for 10% longer than the lease must cope with these.
-CLOCK_RATES = strategies.floats(1 / 1.0999, 1.0)
+CLOCK_RATES = strategies.sampled_from((1.0, 1 / 1.0999, 0.97))
 
 
 class FleetMachine(stateful.RuleBasedStateMachine):
@@ -44,42 +49,64 @@
         self.fleet.advance(12)
         self.fleet.exchange_all()
 
-    @stateful.rule(seconds=strategies.sampled_from((0.1, 0.5, 1, 2, 3, 4)))
+    @stateful.rule(seconds=STEPS_S)
     def advance(self, seconds):
         self.fleet.advance(seconds)
 
-    @stateful.rule(seconds=strategies.integers(1, 6))
-    def run_quietly(self, seconds):
-        for _ in range(seconds):
-            self.fleet.advance(1)
+    @stateful.rule(
+        seconds=strategies.integers(1, 12), use=strategies.booleans()
+    )
+    def run(self, seconds, use):
+        for _ in range(seconds * 2):
+            self.fleet.advance(0.5)
             self.fleet.exchange_all()
+            if use:
+                self.fleet.take_all()
+            self.fleet.check_units()
 
     @stateful.rule(host=HOSTS, lender=HOSTS)
     def ask(self, host, lender):
         self.fleet.ask(self.fleet.hosts[host], self.fleet.hosts[lender])
 
+    @stateful.rule(host=HOSTS, lender=HOSTS)
+    def ask_and_hold_reply(self, host, lender):
+        before = len(self.fleet.in_flight)
+        self.ask(host, lender)
+        if len(self.fleet.in_flight) > before:
+            self.fleet.deliver(-1)
+
     @stateful.rule(host=HOSTS, lender=HOSTS)
     def exchange(self, host, lender):
         self.fleet.exchange(self.fleet.hosts[host], self.fleet.hosts[lender])
 
+    @stateful.rule()
+    def exchange_with_self(self):
+        for host in self.fleet.hosts:
+            self.fleet.exchange(host, host)
+
     @stateful.precondition(lambda self: self.fleet.in_flight)
-    @stateful.rule(index=INDEXES, keep=strategies.booleans())
-    def deliver(self, index, keep):
-        self.fleet.deliver(index % len(self.fleet.in_flight), keep)
+    @stateful.rule(position=POSITIONS, keep=strategies.booleans())
+    def deliver(self, position, keep):
+        count = len(self.fleet.in_flight)
+        self.fleet.deliver(position % count, keep)
 
     @stateful.precondition(lambda self: self.fleet.in_flight)
-    @stateful.rule(index=INDEXES)
-    def lose(self, index):
-        self.fleet.lose(index % len(self.fleet.in_flight))
+    @stateful.rule(position=POSITIONS)
+    def lose(self, position):
+        self.fleet.lose(position % len(self.fleet.in_flight))
 
     @stateful.rule(source=HOSTS, receiver=HOSTS)
-    def cut_or_heal(self, source, receiver):
+    def cut_or_join(self, source, receiver):
         addresses = self.fleet.addresses
         if source != receiver:
             self.fleet.cuts ^= {(addresses[source], addresses[receiver])}
 
+    @stateful.rule(host=HOSTS)
+    def see_nobody(self, host):
+        isolate(self.fleet.hosts[host])
+
     @stateful.rule(host=HOSTS, other=HOSTS)
-    def change_view(self, host, other):
+    def see_other(self, host, other):
         self.fleet.hosts[host].view ^= {self.fleet.addresses[other]}
 
     @stateful.rule(host=HOSTS)
@@ -102,13 +129,21 @@
     def stop(self, host):
         self.fleet.stop(self.fleet.hosts[host])
 
+    @stateful.rule()
+    def heal(self):
+        self.fleet.heal()
+
     @stateful.rule(rate=strategies.sampled_from((3.0, 6.0, 12.0)))
     def change_rate(self, rate):
         self.fleet.publish(rate=rate, burst=rate * 1.5)
 
-    @stateful.rule(count=strategies.integers(1, HOST_COUNT))
-    def change_addresses(self, count):
-        self.fleet.publish(addresses=self.fleet.addresses[:count])
+    @stateful.rule(
+        numbers=strategies.sampled_from(((0,), (1,), (2,), (0, 1), (0, 1, 2)))
+    )
+    def change_addresses(self, numbers):
+        self.fleet.publish(
+            addresses=tuple(self.fleet.addresses[n] for n in numbers)
+        )
 
     @stateful.rule(host=HOSTS)
     def learn(self, host):
@@ -127,6 +162,13 @@
         if hasattr(self, 'fleet'):
             self.fleet.check_units()
 
+    def teardown(self):
+        """Check that no schedule leaves rights that nobody can use."""
+        if hasattr(self, 'fleet'):
+            self.fleet.heal()
+            run_until_settled(self.fleet)
+            check_all_lent(self.fleet)
+
 
 def start_fleet(lender_class=rights.Lender, borrower_class=rights.Borrower):
     """Return a fleet whose rights are all lent to the owner, host h0.
@@ -141,6 +183,29 @@
     return fleet
 
 
+def run_until_settled(fleet):
+    """Let changes spread, shares grow and leases be renewed."""
+    for _ in range(16):
+        fleet.advance(1)
+        fleet.exchange_all()
+        fleet.check_units()
+
+
+def check_all_lent(fleet):
+    """Check that the owner has the whole rate and all units."""
+    owner = fleet.hosts[0].process.borrower
+    plan = fleet.plans[-1][1]
+    share, _ = plan.share(plan.addresses[0])
+    rate_micro, burst_micro = share[rights_fleet.WORKSPACE]
+    pool = owner.dump(fleet.hosts[0].now())['pools'][rights_fleet.WORKSPACE]
+    count = len(plan.addresses)
+    expected = (rate_micro * count, burst_micro * count, plan.targets)
+    units = owner.units(rights_fleet.SERVICE, fleet.hosts[0].now())
+    found = (pool['rate_micro'], pool['capacity_micro'], len(units))
+    if found != expected:
+        raise AssertionError(f'{found} lent, not {expected}')
+
+
 def isolate(*hosts):
     """Let hosts see only themselves, so that they own everything."""
     for host in hosts:
@@ -422,6 +487,13 @@
         self._acknowledge(lease, lease.version, now)
 
 
+class DeafLender(rights.Lender):
+    """Waits for ever for borrowers that go on renewing."""
+
+    def _acknowledge(self, lease, version, now):
+        pass
+
+
 class TrustingLender(rights.Lender):
     """Takes a borrower's new incarnation as proof of its old one's end."""
 
@@ -466,8 +538,8 @@
     def take_back(self, rights_return, now):
         super().take_back(rights_return, now)
         for item in rights_return.tokens:
-            right = self._rights[item.workspace]
-            if right.lease is not None:
+            right = self._rights.get(item.workspace)
+            if right is not None and right.lease is not None:
                 right.come_home(now, item.tokens_micro)
 
 
@@ -567,6 +639,33 @@
     def test_no_schedule_uses_a_right_twice(self):
         stateful.run_state_machine_as_test(FleetMachine, settings=SETTINGS)
 
+    def test_rights_return_to_the_owner_after_a_partition(self):
+        fleet = start_fleet()
+        isolate(*fleet.hosts)
+        fleet.cuts = set(itertools.permutations(fleet.addresses, 2))
+        use_for(fleet, 10, [(host, host) for host in fleet.hosts])
+        with self.assertRaises(AssertionError):
+            check_all_lent(fleet)
+        fleet.heal()
+        run_until_settled(fleet)
+        check_all_lent(fleet)
+
+    def test_liveness_check_finds_rights_that_never_come_home(self):
+        for lender_class, is_settled in (
+            (rights.Lender, True),
+            (DeafLender, False),
+        ):
+            fleet = start_fleet(lender_class)
+            isolate(fleet.hosts[1])
+            run_until_settled(fleet)
+            fleet.heal()
+            run_until_settled(fleet)
+            if is_settled:
+                check_all_lent(fleet)
+            else:
+                with self.assertRaises(AssertionError):
+                    check_all_lent(fleet)
+
     def test_no_scenario_uses_a_right_twice(self):
         for scenario in SCENARIOS:
             scenario(start_fleet())
--- /dev/null
+++ b/tests/test_rights_load.py
@@ -0,0 +1,58 @@
+"""Tests of what conserved rights refuse under an uneven load."""
+
+import unittest
+
+from tests.standins import rate_load
+
+SEED = 1
+
+
+def run_load(system, **options):
+    counts = rate_load.run_load(system, seconds=12, seed=SEED, **options)
+    requests, refused = rate_load.sum_counts(counts)
+    return refused / requests, counts
+
+
+class UtilisationTest(unittest.TestCase):
+    """Guards against requests refused although they are inside the rate."""
+
+    def test_fixed_shares_refuse_much_of_an_uneven_load(self):
+        refused, _ = run_load(rate_load.FixedShares())
+        self.assertGreater(refused, 0.3)
+
+    def test_one_owner_refuses_what_a_single_bucket_refuses(self):
+        single, _ = run_load(rate_load.SingleBucket())
+        conserved, _ = run_load(
+            rate_load.ConservedRates(rate_load.find_single_owner)
+        )
+        self.assertLessEqual(conserved, single + 0.001)
+
+    def test_several_owners_refuse_little_more(self):
+        single, _ = run_load(rate_load.SingleBucket())
+        conserved, counts = run_load(rate_load.ConservedRates())
+        self.assertLessEqual(conserved, single + 0.002)
+        self.assertEqual(counts['w0'][1], 0)
+
+    def test_overload_gets_the_rate_and_the_burst(self):
+        system = rate_load.ConservedRates()
+        _, counts = run_load(system, load=5.0)
+        for workspace in rate_load.WORKSPACES:
+            requests, refused = counts[workspace.name]
+            limit = workspace.rate * 12 + workspace.burst
+            self.assertLessEqual(requests - refused, limit + 1)
+            self.assertGreater(requests - refused, 0.95 * limit)
+
+
+class OwnerDeathTest(unittest.TestCase):
+    """Guards against an owner's death that stops a whole workspace."""
+
+    def count_refused(self, system):
+        _, counts = run_load(system, kill_at=3)
+        return counts['w0'][1]
+
+    def test_several_owners_keep_most_of_the_rate(self):
+        one = self.count_refused(
+            rate_load.ConservedRates(rate_load.find_single_owner)
+        )
+        several = self.count_refused(rate_load.ConservedRates())
+        self.assertLess(several, one / 4)
