Widen the age margins of claim homes and prove at-most-once

Cause: a home granted keys created 5 s after its memory began. Keys may be from the future by 5 s on the clock of an entry host that is itself ahead of the home, so a key that ran before a home's restart could run again. After a change of the list of addresses, hosts that had not learned it ran keys that the new homes then granted too.

Change: the margin is 10 s after the start of a memory and 15 s after a change of the list. A simulated fleet with differing clocks, lost, delayed and repeated messages, restarts and changing lists drives the real homes and quorums against an oracle.

Found on weakened code, each with "key ran twice": no check of the memory's age, none of the list's age, any list accepted, 5 s margins, early expiry, expiry undone by a clock set back, eviction without a limit on age, ends of other attempts, a quorum of one, and versions of the list that recur.

Conclusion: 5 s is too short for two clocks. The price is that a changed list refuses keys for 15 s instead of 5 s.

--- a/lavenderstile/claims.py
+++ b/lavenderstile/claims.py
@@ -12,12 +12,21 @@
 HOME_COUNT = 3
 # Keys with a creation time further ahead of the clock are refused.
 FUTURE_LIMIT_S = 5.0
-# A home grants only keys that are this much younger than its memory.
-CLOCK_ALLOWANCE_S = 5.0
+# Largest difference between the wall clocks of two hosts.
+CLOCK_SKEW_S = 5.0
+# Stated limit for a configuration change to be in force on every host.
+SPREAD_LIMIT_S = 5.0
+# A home grants only keys created this long after its memory began. A key
+# that ran just before can be from the future, and the entry host's clock,
+# which let it pass, can be ahead of the home's.
+MEMORY_MARGIN_S = FUTURE_LIMIT_S + CLOCK_SKEW_S
+# The same after a change of the fleet: until the change has spread, entry
+# hosts and homes that do not know of it still run such keys.
+FLEET_MARGIN_S = SPREAD_LIMIT_S + MEMORY_MARGIN_S
 DEFAULT_WINDOW_S = 900.0
 # Homes remember claims for longer than entry hosts accept keys, so that a
 # difference between their clocks does not turn valid keys away.
-WINDOW_MARGIN_S = 10.0
+WINDOW_MARGIN_S = 2 * CLOCK_SKEW_S
 # How long the end of an attempt is remembered that came before its claim;
 # longer than any call between hosts may take.
 ENDED_MEMORY_S = 60.0
@@ -85,7 +94,9 @@
     """One host's memory of claimed keys.
 
     A key is granted only when the memory would surely contain it if this
-    home had granted it before.
+    home had granted it before. `fleet_version` has to differ for each change
+    of the list of addresses, also for one that restores an earlier list: a
+    host may have missed what was between them.
     """
 
     __slots__ = (
@@ -193,12 +204,12 @@
         return messages.ClaimAnswer(messages.ClaimState.CLAIMED, claim.status)
 
     def _covers(self, request, now_unix):
-        began_unix = max(self._memory_began_unix, self._fleet_since_unix)
+        created_unix = request.created_unix
+        latest_unix = now_unix + FUTURE_LIMIT_S + CLOCK_SKEW_S
         return (
-            request.created_unix >= began_unix + CLOCK_ALLOWANCE_S
-            and request.created_unix > self._forgotten_unix
-            and request.created_unix
-            <= now_unix + FUTURE_LIMIT_S + WINDOW_MARGIN_S
+            created_unix > self._memory_began_unix + MEMORY_MARGIN_S
+            and created_unix > self._fleet_since_unix + FLEET_MARGIN_S
+            and self._forgotten_unix < created_unix <= latest_unix
         )
 
     def _remember(self, request):
--- /dev/null
+++ b/tests/test_claims_fleet.py
@@ -0,0 +1,471 @@
+"""Tests of at-most-once execution over a faulty fleet."""
+
+import dataclasses
+import os
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lavenderstile import claims
+from tests.standins import claim_fleet
+
+EXAMPLES = os.environ.get('LAVENDERSTILE_HYPOTHESIS_EXAMPLES')
+SETTINGS = hypothesis.settings(
+    max_examples=int(EXAMPLES or 200),
+    stateful_step_count=50,
+    derandomize=EXAMPLES is None,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+HOST_COUNT = 5
+HOSTS = strategies.integers(0, HOST_COUNT - 1)
+HOST_SETS = strategies.sets(HOSTS, max_size=2)
+POSITIONS = strategies.sampled_from((0, -1, 1, 2, 3, 5, 8))
+SKEWS_S = strategies.sampled_from((0.0, 0.0, 2.5, -2.5))
+FLEETS = strategies.sampled_from(
+    ((0, 1, 2), (1, 2, 3), (0, 1, 2, 3), (0, 1, 4), (2, 3, 4))
+)
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """Random schedules of attempts, messages, restarts and lists."""
+
+    home_class = claims.ClaimHome
+    quorum_class = claims.ClaimQuorum
+
+    @stateful.initialize(
+        skews_s=strategies.tuples(*[SKEWS_S] * HOST_COUNT), numbers=FLEETS
+    )
+    def set_up(self, skews_s, numbers):
+        self.fleet = claim_fleet.ClaimFleet(
+            skews_s, self.home_class, self.quorum_class, numbers
+        )
+        self.fleet.make_key()
+
+    @stateful.rule(
+        seconds=strategies.sampled_from((0.1, 1.0, 4.9, 10.0, 300.0, 600.0))
+    )
+    def advance(self, seconds):
+        self.fleet.advance(seconds)
+
+    @stateful.rule(ahead_s=strategies.sampled_from((-60, -5, 0, 2.5, 5, 7.5)))
+    def make_key(self, ahead_s):
+        self.fleet.make_key(ahead_s)
+
+    @stateful.rule(entry=HOSTS, newest=strategies.integers(1, 3))
+    def start(self, entry, newest):
+        key = self.fleet.keys[-min(newest, len(self.fleet.keys))]
+        self.fleet.start(self.fleet.hosts[entry], key)
+
+    @stateful.rule(
+        entry=HOSTS,
+        newest=strategies.integers(1, 2),
+        lost=HOST_SETS,
+        unanswered=HOST_SETS,
+        ran=strategies.booleans(),
+    )
+    def try_at_once(self, entry, newest, lost, unanswered, ran):
+        hosts = self.fleet.hosts
+        self.fleet.try_at_once(
+            hosts[entry],
+            self.fleet.keys[-min(newest, len(self.fleet.keys))],
+            [hosts[number] for number in lost],
+            [hosts[number] for number in unanswered],
+            ran,
+        )
+
+    @stateful.precondition(lambda self: self.fleet.in_flight)
+    @stateful.rule(position=POSITIONS, keep=strategies.booleans())
+    def deliver(self, position, keep):
+        count = len(self.fleet.in_flight)
+        self.fleet.deliver(position % count, keep)
+
+    @stateful.precondition(lambda self: self.fleet.in_flight)
+    @stateful.rule(position=POSITIONS)
+    def lose(self, position):
+        self.fleet.lose(position % len(self.fleet.in_flight))
+
+    @stateful.precondition(lambda self: self.fleet.attempts)
+    @stateful.rule(
+        newest=strategies.integers(1, 3),
+        ran=strategies.booleans(),
+        is_told=strategies.booleans(),
+    )
+    def finish(self, newest, ran, is_told):
+        attempts = self.fleet.attempts
+        attempt = attempts[-min(newest, len(attempts))]
+        self.fleet.finish(attempt, ran, is_told)
+
+    @stateful.rule(host=HOSTS)
+    def restart(self, host):
+        self.fleet.restart(self.fleet.hosts[host])
+
+    @stateful.rule(numbers=FLEETS)
+    def publish(self, numbers):
+        self.fleet.publish(numbers)
+
+    @stateful.rule(host=HOSTS)
+    def learn(self, host):
+        self.fleet.learn(self.fleet.hosts[host])
+
+
+def restart_with_early_clock(fleet):
+    """A home restarts just after a key from the future has run.
+
+    The entry host's clock is 5 s ahead of the homes' clocks.
+    """
+    entry, first, second, third, _ = fleet.hosts
+    key = fleet.make_key(ahead_s=9.5)
+    fleet.try_at_once(entry, key, lost=[third])
+    fleet.restart(second)
+    fleet.advance(0.1)
+    fleet.try_at_once(entry, key, lost=[first])
+
+
+def change_addresses_early(fleet):
+    """A key from the future runs at its old homes, then at new ones.
+
+    Two homes of the old list have not learned the new one yet.
+    """
+    entry = fleet.hosts[0]
+    fleet.publish((0, 1, 2))
+    for number in (0, 1):
+        fleet.learn(fleet.hosts[number])
+    fleet.advance(4.9)
+    key = fleet.make_key(ahead_s=4.9)
+    fleet.try_at_once(fleet.hosts[3], key, lost=[fleet.hosts[1]])
+    fleet.advance(0.2)
+    fleet.try_at_once(entry, key)
+
+
+def restart_home(fleet):
+    """A home restarts after it has granted a key that ran."""
+    entry, first, second, third, _ = fleet.hosts
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key, lost=[third])
+    fleet.restart(second)
+    fleet.advance(1)
+    fleet.try_at_once(entry, key, lost=[first])
+
+
+def change_addresses(fleet):
+    """Two homes of a key that ran are replaced."""
+    entry = fleet.hosts[0]
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key)
+    fleet.publish((0, 1, 4))
+    for host in fleet.hosts:
+        fleet.learn(host)
+    fleet.advance(1)
+    fleet.try_at_once(entry, key)
+
+
+def restore_addresses(fleet):
+    """A list is restored before two homes learn that it had changed."""
+    entry = fleet.hosts[0]
+    fleet.cut_off.update(fleet.hosts[2:4])
+    fleet.publish((0, 1, 4))
+    fleet.advance(30)
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key)
+    fleet.publish((1, 2, 3))
+    for host in fleet.hosts:
+        fleet.learn(host)
+    fleet.try_at_once(entry, key)
+
+
+def change_at_start(fleet):
+    """New lists are granted keys once their memory is old enough."""
+    fleet.publish((0, 1, 4))
+    for host in fleet.hosts:
+        fleet.learn(host)
+    fleet.advance(30)
+    fleet.try_at_once(fleet.hosts[0], fleet.make_key())
+
+
+def use_outdated_list(fleet):
+    """A host that changes do not reach asks the homes of an old list."""
+    entry, outdated = fleet.hosts[0], fleet.hosts[3]
+    fleet.cut_off.add(outdated)
+    fleet.publish((0, 1, 4))
+    fleet.advance(60)
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key, lost=[fleet.hosts[1]])
+    fleet.try_at_once(outdated, key)
+
+
+def retry_elsewhere(fleet):
+    """A key that ran comes again, and other homes are reachable."""
+    entry, first, second, *_ = fleet.hosts
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key, lost=[second])
+    fleet.try_at_once(entry, key, lost=[first])
+
+
+def race(fleet):
+    """Two attempts reach the homes in different orders."""
+    entry, other = fleet.hosts[:2]
+    key = fleet.make_key()
+    one = fleet.start(entry, key)
+    two = fleet.start(other, key)
+    for position in (0, 3, 4):
+        fleet.deliver(position)
+    while fleet.in_flight:
+        fleet.deliver(0)
+    fleet.finish(one, ran=True)
+    fleet.finish(two, ran=True)
+
+
+def wait_for_expiry(fleet):
+    """A key comes again when it is about to expire."""
+    entry = fleet.hosts[0]
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key)
+    fleet.advance(899)
+    fleet.try_at_once(entry, key)
+
+
+def crowd(fleet):
+    """Other keys fill the homes' memory after a key has run."""
+    entry = fleet.hosts[0]
+    first = fleet.make_key()
+    fleet.try_at_once(entry, first)
+    for _ in range(20):
+        fleet.advance(0.1)
+        fleet.try_at_once(entry, fleet.make_key())
+    fleet.try_at_once(entry, first)
+
+
+def end_other_attempt(fleet):
+    """A refused attempt ends while another one has run."""
+    entry = fleet.hosts[0]
+    key = fleet.make_key()
+    attempt = fleet.start(entry, key)
+    for _ in range(6):
+        fleet.deliver(0)
+    fleet.try_at_once(entry, key)
+    fleet.finish(attempt, ran=True, is_told=False)
+    fleet.try_at_once(entry, key)
+
+
+def repeat_end(fleet):
+    """The end of an attempt that did not run arrives a second time."""
+    entry = fleet.hosts[0]
+    key = fleet.make_key()
+    attempt = fleet.start(entry, key)
+    for _ in range(6):
+        fleet.deliver(0)
+    fleet.finish(attempt, ran=False)
+    for position in range(3):
+        fleet.deliver(position, keep=True)
+    fleet.try_at_once(entry, key)
+    while fleet.in_flight:
+        fleet.deliver(0)
+    fleet.try_at_once(entry, key)
+
+
+def set_clocks_back(fleet):
+    """The homes' clocks are set back after they have forgotten a key."""
+    entry = fleet.hosts[0]
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key)
+    fleet.advance(920)
+    fleet.try_at_once(entry, fleet.make_key())
+    for host in fleet.hosts:
+        host.skew_s -= 100
+    fleet.try_at_once(entry, key)
+
+
+class SmallHome(claims.ClaimHome):
+    """Remembers 10 claims."""
+
+    def __init__(self, *args):
+        super().__init__(*args, max_claims=10)
+
+
+class NoMemoryCheckHome(claims.ClaimHome):
+    """Grants keys that are older than its memory."""
+
+    def __init__(self, _began_unix, version, _since_unix):
+        super().__init__(0.0, version, 0.0)
+
+
+class NoFleetCheckHome(claims.ClaimHome):
+    """Grants keys that are older than the list of addresses."""
+
+    def set_fleet(self, version, _since_unix):
+        super().set_fleet(version, 0.0)
+
+
+class AnyFleetHome(claims.ClaimHome):
+    """Answers entry hosts whatever list they use."""
+
+    def claim(self, request, now_unix):
+        version = self._fleet_version
+        request = dataclasses.replace(request, fleet_version=version)
+        return super().claim(request, now_unix)
+
+
+class OneMarginHome(claims.ClaimHome):
+    """Allows for the skew of one clock and not for the change's spread."""
+
+    def _covers(self, request, now_unix):
+        began = max(self._memory_began_unix, self._fleet_since_unix)
+        return request.created_unix >= began + claims.CLOCK_SKEW_S
+
+
+class EarlyExpiryHome(claims.ClaimHome):
+    """Forgets claims that it would grant again."""
+
+    def expire(self, now_unix):
+        super().expire(now_unix + 600)
+        self._forgotten_unix = 0.0
+
+
+class ReturningKeysHome(claims.ClaimHome):
+    """Grants forgotten keys again when its clock is set back."""
+
+    def expire(self, now_unix):
+        super().expire(now_unix)
+        self._forgotten_unix = now_unix - 910
+
+
+class EvictingHome(SmallHome):
+    """Grants keys again that it had no place to remember."""
+
+    def _covers(self, request, now_unix):
+        self._forgotten_unix = 0.0
+        return super()._covers(request, now_unix)
+
+
+class AnyEndHome(claims.ClaimHome):
+    """Frees a claim when any attempt ends."""
+
+    def end(self, claim_end, now_unix):
+        if not claim_end.ran:
+            self._claims.pop((claim_end.workspace, claim_end.key), None)
+        super().end(claim_end, now_unix)
+
+
+class OneGrantQuorum(claims.ClaimQuorum):
+    """Needs one grant."""
+
+    def __init__(self, request, homes):
+        super().__init__(request, homes)
+        self._needed = 1
+
+
+class ReusedVersionFleet(claim_fleet.ClaimFleet):
+    """Names a list of addresses by its content."""
+
+    def _name_version(self, plan):
+        return ','.join(plan.addresses)
+
+
+def make_fleet(**options):
+    """Return a fleet in which h1, h2 and h3 are the homes of all keys."""
+    return claim_fleet.ClaimFleet(numbers=(1, 2, 3), **options)
+
+
+def make_early_fleet(**options):
+    """Return a fleet in which the clock of h0 is ahead by 5 s."""
+    skews_s = (5.0, 0.0, 0.0, 0.0, 0.0)
+    return make_fleet(skews_s=skews_s, **options)
+
+
+SCENARIOS = (
+    (make_early_fleet, restart_with_early_clock),
+    *(
+        (make_fleet, scenario)
+        for scenario in (
+            restart_home,
+            change_addresses,
+            change_addresses_early,
+            change_at_start,
+            restore_addresses,
+            use_outdated_list,
+            retry_elsewhere,
+            race,
+            wait_for_expiry,
+            crowd,
+            end_other_attempt,
+            repeat_end,
+            set_clocks_back,
+        )
+    ),
+)
+WEAKENED = (
+    (NoMemoryCheckHome, make_fleet, restart_home),
+    (NoFleetCheckHome, make_fleet, change_addresses),
+    (AnyFleetHome, make_fleet, use_outdated_list),
+    (OneMarginHome, make_early_fleet, restart_with_early_clock),
+    (OneMarginHome, make_fleet, change_addresses_early),
+    (EarlyExpiryHome, make_fleet, wait_for_expiry),
+    (ReturningKeysHome, make_fleet, set_clocks_back),
+    (EvictingHome, make_fleet, crowd),
+    (AnyEndHome, make_fleet, end_other_attempt),
+)
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Guards against a request that runs twice for one key."""
+
+    def assert_violation(self, scenario, fleet, name):
+        with self.assertRaises(claim_fleet.ViolationError, msg=name):
+            scenario(fleet)
+
+    def test_no_schedule_runs_a_key_twice(self):
+        stateful.run_state_machine_as_test(ClaimsMachine, settings=SETTINGS)
+
+    def test_no_scenario_runs_a_key_twice(self):
+        for make, scenario in SCENARIOS:
+            scenario(make())
+            scenario(make(home_class=SmallHome))
+
+    def test_oracle_finds_each_weakened_home(self):
+        # A check that passes on weakened code would prove nothing.
+        for weakened, make, scenario in WEAKENED:
+            fleet = make(home_class=weakened)
+            self.assert_violation(scenario, fleet, weakened.__name__)
+
+    def test_oracle_finds_a_quorum_of_one(self):
+        for scenario in (retry_elsewhere, race):
+            fleet = make_fleet(quorum_class=OneGrantQuorum)
+            self.assert_violation(scenario, fleet, scenario.__name__)
+
+    def test_oracle_finds_reused_fleet_versions(self):
+        fleet = ReusedVersionFleet(numbers=(1, 2, 3))
+        self.assert_violation(restore_addresses, fleet, 'reused versions')
+
+
+class AvailabilityTest(unittest.TestCase):
+    """Guards against keys that are refused without need."""
+
+    def test_key_runs_although_one_home_is_unreachable(self):
+        fleet = make_fleet()
+        for number in (1, 2, 3):
+            key = fleet.make_key()
+            fleet.try_at_once(fleet.hosts[0], key, lost=[fleet.hosts[number]])
+            self.assertEqual(fleet.runs[key], 1)
+
+    def test_key_runs_after_an_attempt_that_got_too_few_answers(self):
+        fleet = make_fleet()
+        entry, first, second, *_ = fleet.hosts
+        key = fleet.make_key()
+        sent = fleet.try_at_once(entry, key, unanswered=[first, second])
+        self.assertFalse(sent)
+        self.assertTrue(fleet.try_at_once(entry, key))
+
+    def test_key_runs_after_an_attempt_that_the_target_did_not_run(self):
+        fleet = make_fleet()
+        key = fleet.make_key()
+        self.assertTrue(fleet.try_at_once(fleet.hosts[0], key, ran=False))
+        self.assertTrue(fleet.try_at_once(fleet.hosts[0], key))
+
+    def test_keys_run_again_after_a_change_of_addresses(self):
+        fleet = make_fleet()
+        change_at_start(fleet)
+        self.assertEqual(list(fleet.runs.values()), [1])
