Add ejection of bad targets and the ramp-up of cold ones

Health endpoints can lie, so the outcomes of requests have to tell which target is bad, without blaming targets for a host's link, a slow caller or a bad time of the whole service.

EvidenceWindow compares each target's failures (lower bound of the 99% Wilson interval) and latencies (median, and share of slow requests) with its peers', without the host that saw the most failures. Targets that accept requests and answer none are suspects until failures confirm it. PathAvoidance keeps a single host off a target.

Placement took the target with the most free slots.

--- a/lavenderstile/admission.py
+++ b/lavenderstile/admission.py
@@ -2,24 +2,21 @@
 
 import uuid
 
+from . import admission_reports as reports
 from . import crashes
 from . import messages
+from . import pacing
 from . import placement
 from . import queueing
 from . import retries
+from . import reviews
 from . import slots
-from . import targets
 from . import verdicts
 
 # A new owner waits for one exchange, in which the hosts report the grants
 # of its predecessor.
 SETTLE_S = 1.0
-# Requests wait at most this long while the owner holds no usable slot; the
-# units of a dead owner return after its leases (3.3 s).
-NO_CAPACITY_WAIT_S = 4.0
 SHED_INTERVAL_S = 0.2
-# Weight of the last hold in the mean time that a grant holds its unit.
-HOLD_WEIGHT = 0.05
 
 
 class ServiceAdmission:
@@ -31,15 +28,14 @@
         '_crashes',
         '_decisions',
         '_dirty',
-        '_empty_since',
-        '_events',
-        '_hold_s',
         '_name',
         '_next_shed',
         '_owner_id',
+        '_pace',
         '_placement',
         '_queue',
         '_retries',
+        '_review',
         '_service',
         '_settle_until',
         '_states',
@@ -57,15 +53,15 @@
         self._queue = queueing.FairQueue()
         self._crashes = crashes.CrashRegister()
         self._retries = retries.RetryBudget()
+        self._review = reviews.TargetReview(
+            service_name, self._states, self._table
+        )
         self._placement = placement.Placement(
-            self._states, self._table, self._is_avoided
+            self._states, self._table, self._review.is_avoided
         )
         self._decisions = []
-        self._events = []
         self._dirty = False
-        # When the owner ran out of usable slots, or None.
-        self._empty_since = None
-        self._hold_s = None
+        self._pace = pacing.Pace(self._states, self._table)
         self._next_shed = now
         self._settle_until = now + SETTLE_S
 
@@ -80,27 +76,8 @@
 
     def configure(self, service, domains_out, now):
         """Apply the service's configuration and the domains' states."""
-        first = self._service is None
         self._service = service
-        addresses = {target.address for target in service.targets}
-        for address in list(self._states):
-            if address not in addresses:
-                del self._states[address]
-        for target in service.targets:
-            in_service = target.domain not in domains_out
-            state = self._states.get(target.address)
-            if state is None:
-                state = targets.TargetState(target, in_service)
-                self._states[target.address] = state
-                if not first:
-                    state.cold.restart('new target')
-                continue
-            was_open = state.open
-            state.target = target
-            state.domain_in_service = in_service
-            state.cold.configure(target.slots)
-            if state.open and not was_open:
-                state.cold.restart('back in service')
+        self._review.configure(service, domains_out, now)
         self._dirty = True
 
     def set_units(self, units, now):
@@ -108,10 +85,13 @@
         self._table.set_units(
             unit for unit in units if unit.service == self._name
         )
+        self._review.enforce_floor(now)
         self._dirty = True
 
     def request(self, request, now):
         """Decide on a request: a grant, a place in the queue or a refusal."""
+        if request.request_id in self._queue:
+            return messages.Queued(request.request_id)
         refusal = self._refuse_early(request, now)
         if refusal is not None:
             return refusal
@@ -119,9 +99,7 @@
             grant = self._place(request, now)
             if grant is not None:
                 return grant
-        if request.request_id in self._queue:
-            return messages.Queued(request.request_id)
-        refusal = self._queue.push(request, now, self._pace_s())
+        refusal = self._queue.push(request, now, self._pace.interval_s)
         if refusal is not None:
             return refusal
         self._dirty = True
@@ -162,7 +140,7 @@
         """Take a slot back and record how the attempt went."""
         holder, repeated = self._table.release(report.grant_id, now)
         if holder is not None:
-            self._record_hold(now - holder.granted_at)
+            self._pace.record_hold(now - holder.granted_at)
             self._dirty = True
         if not repeated:
             self._record(report, holder, now)
@@ -187,25 +165,22 @@
 
     def hint(self, hint, now):
         """Take what a target's health and load endpoints say."""
-        state = self._states.get(hint.target)
-        if state is None:
-            return
-        state.healthy = hint.healthy
-        state.draining = hint.draining
-        state.hint_at = now
-        state.hinted_running = hint.running
-        self._note_instance(state, hint.instance)
-        state.cold.record_announcement(hint.cold)
+        self._review.hint(hint, now)
+        self._dirty = True
 
     def evaluate(self, now):
         """Review the targets; return the changes of state as events."""
-        events, self._events = self._events, []
+        events = self._review.evaluate(now)
+        if events:
+            self._dirty = True
         return events
 
     def summary(self, now):
         """Return what a successor needs."""
         return messages.ServiceSummary(
-            self._name, (), self._crashes.notes(self._name, now)
+            self._name,
+            self._review.notes(now),
+            self._crashes.notes(self._name, now),
         )
 
     def inherit(self, summary, now, running=None):
@@ -216,6 +191,7 @@
         """
         for note in summary.crashes:
             self._crashes.merge(note, now)
+        self._review.inherit(summary.ejections, now)
         if running is None:
             return
         for host in {grant.host for grant in running}:
@@ -225,10 +201,15 @@
         self._dirty = True
 
     def drop_evidence(self, now):
-        """Forget evidence that spans a pause of this process."""
-        for state in self._states.values():
-            state.cold.drop_progress()
-            state.refused = False
+        """Forget what spans a pause of this process.
+
+        Another owner may have granted slots meanwhile, and the hosts were
+        not heard because nobody listened.
+        """
+        self._review.drop_evidence(now)
+        self._table.renew_reports(now)
+        self._pace.forget_empty()
+        self.settle(now)
 
     def dump(self, now):
         """Return the whole state for operators."""
@@ -236,10 +217,12 @@
             'service': self._name,
             'settling_s': max(0.0, self._settle_until - now),
             'queued': self._queue.lengths,
-            'hold_s': self._hold_s,
+            'hold_s': self._pace.hold_s,
             'retry_tokens': self._retries.tokens,
             'targets': {
-                address: self._dump_target(state)
+                address: reports.dump_target(
+                    state, self._table, self._review, now
+                )
                 for address, state in self._states.items()
             },
         }
@@ -249,37 +232,7 @@
         state = self._states.get(address)
         if state is None:
             return [f'{address} is not a target of service {self._name}.']
-        lines = []
-        if not state.domain_in_service:
-            lines.append(
-                f'Failure domain {state.target.domain} is out of service, '
-                'so the target gets no new requests.'
-            )
-        if state.target.leaving:
-            lines.append('The target is leaving and gets no new requests.')
-        if state.cold.ramping:
-            lines.append(
-                f'The target is in cold start ({state.cold.reason}): at most '
-                f'{state.cold.limit()} requests at once.'
-            )
-        if not lines:
-            lines.append('The target is in service.')
-        held = len(self._table.units(address))
-        running = self._table.running(address)
-        lines.append(f'{running} requests run on {held} usable slots.')
-        return lines
-
-    def _dump_target(self, state):
-        return {
-            'domain': state.target.domain,
-            'open': state.open,
-            'ejected': state.ejected,
-            'trial': state.trial,
-            'limit': state.cold.limit(),
-            'units': [u.index for u in self._table.units(state.address)],
-            'running': self._table.running(state.address),
-            'instance': state.instance,
-        }
+        return reports.explain_target(state, self._table, self._review, now)
 
     def _refuse_early(self, request, now):
         if self._service is None:
@@ -302,19 +255,10 @@
                 f'no target of service {self._name} is in service',
                 retry_after_s=1.0,
             )
-        if self._is_empty(now):
+        if self._pace.is_empty(now):
             return self._refuse_empty()
         return None
 
-    def _is_empty(self, now):
-        """Return whether the owner has had no usable slot for too long."""
-        if self._capacity():
-            self._empty_since = None
-            return False
-        if self._empty_since is None:
-            self._empty_since = now
-        return now - self._empty_since >= NO_CAPACITY_WAIT_S
-
     def _refuse_empty(self):
         return verdicts.Refusal(
             verdicts.Reason.NO_CAPACITY,
@@ -383,13 +327,13 @@
             self._decisions.append(decision)
 
     def _shed(self, now):
-        if self._is_empty(now):
+        if self._pace.is_empty(now):
             for request in self._queue.requests:
                 self._queue.remove(request.request_id)
                 self._decisions.append(
                     messages.Decision(request.request_id, self._refuse_empty())
                 )
-        for shed in self._queue.expire(now, self._pace_s()):
+        for shed in self._queue.expire(now, self._pace.interval_s):
             self._decisions.append(
                 messages.Decision(shed.request_id, shed.refusal)
             )
@@ -399,28 +343,7 @@
             messages.Decision(request_id, verdicts.Refusal(reason, detail))
         )
 
-    def _capacity(self):
-        return sum(
-            state.capacity(self._table) for state in self._states.values()
-        )
-
-    def _pace_s(self):
-        """Return the expected time between two grants, or None."""
-        capacity = self._capacity()
-        if not capacity or self._hold_s is None:
-            return None
-        return self._hold_s / capacity
-
-    def _record_hold(self, hold_s):
-        if self._hold_s is None:
-            self._hold_s = hold_s
-        else:
-            self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
-
     def _record(self, report, holder, now):
-        state = self._states.get(report.unit.target)
-        if state is None:
-            return
         outcome = report.outcome
         if outcome is messages.Outcome.CRASHED:
             granted_at = None if holder is None else holder.granted_at
@@ -429,19 +352,4 @@
             )
         elif outcome is messages.Outcome.ANSWERED:
             self._crashes.clear(report.digest)
-        self._note_instance(state, report.instance)
-        state.cold.record_announcement(report.cold)
-        if outcome is messages.Outcome.ANSWERED and holder is not None:
-            state.cold.record_good(holder.step)
-        elif outcome is messages.Outcome.SHED:
-            state.cold.restart('shed load')
-
-    def _note_instance(self, state, instance):
-        if not instance:
-            return
-        if state.instance and state.instance != instance:
-            state.cold.restart('instance changed')
-        state.instance = instance
-
-    def _is_avoided(self, host, target):
-        return False
+        self._review.record(report, holder, now)
--- a/lavenderstile/charts.py
+++ b/lavenderstile/charts.py
@@ -22,18 +22,21 @@
     never per request.
     """
 
-    __slots__ = ('_interpreter',)
+    __slots__ = ('_interpreter', '_state')
 
     def __init__(self, chart):
         self._interpreter = interpreter.Interpreter(chart)
         self._interpreter.execute()
+        self._state = self._interpreter.configuration[-1]
 
     @property
     def state(self):
         """Name of the innermost active state."""
-        return self._interpreter.configuration[-1]
+        return self._state
 
     def send(self, event):
         """Send an event; return whether a transition was taken."""
         self._interpreter.queue(event)
-        return bool(self._interpreter.execute())
+        steps = self._interpreter.execute()
+        self._state = self._interpreter.configuration[-1]
+        return any(step.transitions for step in steps)
--- /dev/null
+++ b/lavenderstile/evidence.py
@@ -0,0 +1,279 @@
+"""Outcomes of requests by target and host, compared between targets.
+
+docs/decisions/ejection.md gives the statistics behind the constants.
+"""
+
+import collections
+import dataclasses
+import math
+import statistics
+
+# The long window finds rare failures, the short one frequent failures
+# before they fill a part of the long one.
+LONG_WINDOW_S = 10.0
+SHORT_WINDOW_S = 3.0
+# At 10 requests/s a target has 100 samples per window; more add nothing.
+MAX_SAMPLES = 400
+# Normal quantile of the 99% interval, whose lower bound counts.
+FAILURE_Z = 2.576
+MIN_FAILURES = 4
+MIN_SHARE = 0.1
+PEER_FACTOR = 2.0
+# Share of slow requests: a higher bound, as latencies can have two modes,
+# and a median of few samples jumps between them.
+LATENCY_Z = 4.0
+MIN_LATENCY_SAMPLES = 20
+# The latest samples tell a change sooner than those of a fixed time, as a
+# slow target answers less often.
+RECENT_LATENCIES = 12
+LATENCY_FACTOR = 3.0
+# Differences under this are scheduling noise.
+MIN_LATENCY_EXCESS_S = 0.005
+
+
+def wilson_lower(count, total, z=FAILURE_Z):
+    """Return the lower Wilson bound of the share `count` / `total`."""
+    if not total:
+        return 0.0
+    share = count / total
+    spread = z * math.sqrt(
+        share * (1 - share) / total + z * z / (4 * total * total)
+    )
+    return (share + z * z / (2 * total) - spread) / (1 + z * z / total)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """The outcome of one attempt; `latency_s` is None if unknown."""
+
+    at: float
+    host: str
+    failed: bool
+    latency_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Judgement:
+    """How a target compares with its peers.
+
+    `severity` orders bad targets; `reason` is empty for good ones.
+    `bad_times` are the times of the failed or slow requests that count,
+    and `slow` says that they are slow.
+    """
+
+    target: str
+    samples: int
+    failures: int
+    median_s: float | None = None
+    peer_median_s: float | None = None
+    severity: float = 0.0
+    reason: str = ''
+    bad_times: tuple[float, ...] = ()
+    slow: bool = False
+
+    @property
+    def bad(self):
+        """Whether the target looks bad."""
+        return bool(self.reason)
+
+
+class EvidenceWindow:
+    """The samples of the last seconds, by target."""
+
+    __slots__ = ('_samples',)
+
+    def __init__(self):
+        self._samples = {}
+
+    def record(self, target, host, failed, latency_s, now):
+        """Add the outcome of an attempt."""
+        samples = self._samples.get(target)
+        if samples is None:
+            samples = collections.deque(maxlen=MAX_SAMPLES)
+            self._samples[target] = samples
+        samples.append(Sample(now, host, failed, latency_s))
+
+    def forget(self, target):
+        """Drop the samples of one target."""
+        self._samples.pop(target, None)
+
+    def clear(self):
+        """Drop all samples."""
+        self._samples.clear()
+
+    def samples(self, target, now):
+        """Return the samples of a target's long window."""
+        samples = self._samples.get(target)
+        if not samples:
+            return ()
+        while samples and now - samples[0].at > LONG_WINDOW_S:
+            samples.popleft()
+        return samples
+
+    def compare(self, targets, now):
+        """Return a judgement for each of `targets`."""
+        samples = {target: self.samples(target, now) for target in targets}
+        faulty = find_faulty_hosts(samples)
+        if faulty:
+            samples = {
+                target: [s for s in own if s.host not in faulty]
+                for target, own in samples.items()
+            }
+        return _Comparison(samples, now).judge()
+
+
+def find_faulty_hosts(samples):
+    """Return the hosts that see failures on most of their targets.
+
+    Such a host has a bad link; what it reports says nothing about the
+    targets, unless the other hosts see the same.
+    """
+    failures = collections.defaultdict(collections.Counter)
+    for target, own in samples.items():
+        for sample in own:
+            if sample.failed:
+                failures[sample.host][target] += 1
+    all_total = sum(len(own) for own in samples.values())
+    all_failed = sum(count.total() for count in failures.values())
+    faulty = set()
+    for host, failed in failures.items():
+        if len(failed) < 2:
+            continue
+        used = {
+            target: sum(sample.host == host for sample in own)
+            for target, own in samples.items()
+        }
+        total = sum(used.values())
+        rest = all_total - total
+        rest_share = (all_failed - failed.total()) / rest if rest else 1.0
+        lower = wilson_lower(failed.total(), total)
+        spread = 2 * len(failed) > sum(count > 0 for count in used.values())
+        if spread and lower > max(MIN_SHARE, PEER_FACTOR * rest_share):
+            faulty.add(host)
+    return faulty
+
+
+class _Comparison:
+    """One comparison of all targets, at one time."""
+
+    __slots__ = ('_long', '_medians', '_recent', '_short')
+
+    def __init__(self, samples, now):
+        self._long = samples
+        self._short = {
+            target: [s for s in own if now - s.at <= SHORT_WINDOW_S]
+            for target, own in samples.items()
+        }
+        self._recent = {
+            target: self._pick_latencies(target) for target in samples
+        }
+        self._medians = {
+            target: statistics.median(s.latency_s for s in own)
+            for target, own in self._recent.items()
+            if own
+        }
+
+    def judge(self):
+        """Return the judgements by target."""
+        shares = [
+            {target: _share(own) for target, own in window.items() if own}
+            for window in (self._short, self._long)
+        ]
+        return {
+            target: self._judge_one(target, shares) for target in self._long
+        }
+
+    def _judge_one(self, target, shares):
+        own = self._long[target]
+        peer_median = _median_of_others(self._medians, target)
+        found = None
+        for window, window_shares in zip((self._short, self._long), shares):
+            peer_share = _median_of_others(window_shares, target)
+            found = judge_failures(window[target], peer_share or 0.0)
+            if found is not None:
+                break
+        if found is None and peer_median is not None:
+            found = self._judge_latency(target, peer_median)
+        return Judgement(
+            target,
+            len(own),
+            sum(sample.failed for sample in own),
+            self._medians.get(target),
+            peer_median,
+            *(found or ()),
+        )
+
+    def _pick_latencies(self, target):
+        """Return the latest answered samples if there are enough."""
+        answered = [s for s in self._long[target] if s.latency_s is not None]
+        if len(answered) < MIN_LATENCY_SAMPLES:
+            return []
+        return answered[-RECENT_LATENCIES:]
+
+    def _judge_latency(self, target, peer_median):
+        threshold = max(
+            peer_median * LATENCY_FACTOR, peer_median + MIN_LATENCY_EXCESS_S
+        )
+        if self._medians.get(target, 0.0) < threshold:
+            return None
+        own = _without_worst_host(
+            self._recent[target], lambda s: s.latency_s > threshold
+        )
+        if not own:
+            return None
+        median = statistics.median(s.latency_s for s in own)
+        if median < threshold:
+            return None
+        slow = [s.at for s in own if s.latency_s > threshold]
+        peers = [
+            s.latency_s > threshold
+            for peer, samples in self._recent.items()
+            if peer != target
+            for s in samples
+        ]
+        peer_slow = sum(peers) / len(peers) if peers else 1.0
+        if wilson_lower(len(slow), len(own), LATENCY_Z) <= peer_slow:
+            return None
+        reason = (
+            f'median latency {median * 1000:.1f} ms, '
+            f'its peers {peer_median * 1000:.1f} ms'
+        )
+        return 1 - peer_median / median, reason, tuple(slow), True
+
+
+def judge_failures(samples, peer_share):
+    """Return severity, reason and times if too many failed, else None.
+
+    The host with the most failures is left out, so that the evidence
+    comes from two hosts or more.
+    """
+    own = _without_worst_host(samples, lambda sample: sample.failed)
+    failed = [sample.at for sample in own if sample.failed]
+    if len(failed) < MIN_FAILURES:
+        return None
+    lower = wilson_lower(len(failed), len(own))
+    if lower <= max(MIN_SHARE, PEER_FACTOR * peer_share):
+        return None
+    reason = (
+        f'{len(failed)} of {len(own)} requests failed, '
+        f'its peers {peer_share * 100:.1f}%'
+    )
+    return lower, reason, tuple(failed)
+
+
+def _without_worst_host(samples, is_bad):
+    """Return the samples of all hosts but the one with most bad ones."""
+    bad = collections.Counter(s.host for s in samples if is_bad(s))
+    if not bad:
+        return list(samples)
+    worst = max(bad, key=lambda host: (bad[host], host))
+    return [sample for sample in samples if sample.host != worst]
+
+
+def _share(samples):
+    return sum(sample.failed for sample in samples) / len(samples)
+
+
+def _median_of_others(values, target):
+    others = [value for name, value in values.items() if name != target]
+    return statistics.median(others) if others else None
--- /dev/null
+++ b/lavenderstile/pacing.py
@@ -0,0 +1,59 @@
+"""How fast the slots of a service take requests."""
+
+# Requests wait at most this long while the owner holds no usable slot; the
+# units of a dead owner return after its leases (3.3 s).
+NO_CAPACITY_WAIT_S = 4.0
+# Weight of the last hold in the mean time that a grant holds its unit.
+HOLD_WEIGHT = 0.05
+
+
+class Pace:
+    """The capacity of the targets and the time that a grant holds a slot."""
+
+    __slots__ = ('_empty_since', '_hold_s', '_states', '_table')
+
+    def __init__(self, states, table):
+        self._states = states
+        self._table = table
+        self._hold_s = None
+        self._empty_since = None
+
+    @property
+    def hold_s(self):
+        """Mean time that a grant holds its unit, or None if unknown."""
+        return self._hold_s
+
+    @property
+    def capacity(self):
+        """Number of requests that may run at once."""
+        return sum(
+            state.capacity(self._table) for state in self._states.values()
+        )
+
+    @property
+    def interval_s(self):
+        """Expected time between two grants, or None if unknown."""
+        capacity = self.capacity
+        if not capacity or self._hold_s is None:
+            return None
+        return self._hold_s / capacity
+
+    def record_hold(self, hold_s):
+        """Count the time that a grant has held its unit."""
+        if self._hold_s is None:
+            self._hold_s = hold_s
+        else:
+            self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
+
+    def is_empty(self, now):
+        """Return whether there has been no usable slot for too long."""
+        if any(s.capacity(self._table) for s in self._states.values()):
+            self._empty_since = None
+            return False
+        if self._empty_since is None:
+            self._empty_since = now
+        return now - self._empty_since >= NO_CAPACITY_WAIT_S
+
+    def forget_empty(self):
+        """Count a lack of slots from the next look, after a pause."""
+        self._empty_since = None
--- /dev/null
+++ b/lavenderstile/paths.py
@@ -0,0 +1,115 @@
+"""Paths between a host and a target that only this host finds bad."""
+
+import collections
+
+# At an error share of 1%, three failures in a row are one in a million.
+FAILURES_IN_A_ROW = 3
+# Failures that are further apart are not counted together.
+ROW_MEMORY_S = 60.0
+FIRST_AVOIDANCE_S = 5.0
+MAX_AVOIDANCE_S = 60.0
+# The other hosts must find the target good: so many requests of theirs,
+# and at most this share of them failed.
+OTHERS_SAMPLES = 3
+OTHERS_SHARE = 0.3
+# A host whose paths fail at this time has a bad link, and no bad path.
+RECENT_S = 10.0
+MAX_PATHS = 10_000
+
+
+class _Path:
+    """State of one path."""
+
+    __slots__ = ('avoidances', 'failed_at', 'failures', 'until')
+
+    def __init__(self):
+        self.failures = 0
+        self.failed_at = 0.0
+        self.avoidances = 0
+        self.until = 0.0
+
+
+class PathAvoidance:
+    """Keeps hosts off targets that fail for them alone.
+
+    A host gets back to the target after a time that doubles while the
+    path fails again. A host keeps the share `floor` of its targets, so
+    that one with a bad link to all of them avoids only a few.
+    """
+
+    __slots__ = ('_paths',)
+
+    def __init__(self):
+        self._paths = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._paths)
+
+    def record(self, host, target, failed, now):
+        """Count an outcome on a path."""
+        key = (host, target)
+        path = self._paths.get(key)
+        if not failed:
+            if path is not None and path.until <= now:
+                del self._paths[key]
+            return
+        if path is None:
+            while len(self._paths) >= MAX_PATHS:
+                self._paths.popitem(last=False)
+            path = self._paths[key] = _Path()
+        if now - path.failed_at > ROW_MEMORY_S:
+            path.failures = 0
+        path.failures += 1
+        path.failed_at = now
+
+    def is_avoided(self, host, target, now):
+        """Return whether the host is kept off the target."""
+        path = self._paths.get((host, target))
+        return path is not None and now < path.until
+
+    def avoided(self, now):
+        """Return the avoided paths as (host, target)."""
+        return [key for key, path in self._paths.items() if now < path.until]
+
+    def forget(self, target):
+        """Forget the paths to a target."""
+        for key in [key for key in self._paths if key[1] == target]:
+            del self._paths[key]
+
+    def clear(self):
+        """Forget all paths."""
+        self._paths.clear()
+
+    def review(self, window, targets, floor, now):
+        """Avoid the paths that have become bad; return the new ones."""
+        failing = collections.defaultdict(list)
+        for (host, target), path in self._paths.items():
+            recent = now - path.failed_at <= RECENT_S
+            if target in targets and path.failures and recent:
+                failing[host].append((target, path))
+        allowed = max(1, int((1 - floor) * len(targets) + 1e-9))
+        found = []
+        for host, paths in failing.items():
+            if len(paths) > allowed or len(targets) < 2:
+                continue
+            for target, path in paths:
+                if path.until > now or path.failures < FAILURES_IN_A_ROW:
+                    continue
+                samples = window.samples(target, now)
+                if not _is_good_for_others(samples, host):
+                    continue
+                path.failures = FAILURES_IN_A_ROW - 1
+                path.until = now + min(
+                    MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2**path.avoidances
+                )
+                path.avoidances += 1
+                found.append((host, target))
+        return found
+
+
+def _is_good_for_others(samples, host):
+    others = [sample for sample in samples if sample.host != host]
+    failed = sum(sample.failed for sample in others)
+    return len(others) >= OTHERS_SAMPLES and failed < OTHERS_SHARE * len(
+        others
+    )
--- a/lavenderstile/placement.py
+++ b/lavenderstile/placement.py
@@ -6,7 +6,7 @@
 class Placement:
     """Chooses among the targets of a service.
 
-    `avoided(host, target)` says whether a path is known to be bad, and
+    `avoided(host, target, now)` says whether a path is known to be bad, and
     `table` is the owner's slot table.
     """
 
@@ -28,9 +28,9 @@
         trial = self._choose_trial(request, now)
         if trial is not None:
             return trial
-        return self._choose_regular(self._allowed(request), request, now)
+        return self._choose_regular(self._allowed(request, now), request, now)
 
-    def _allowed(self, request):
+    def _allowed(self, request, now):
         """Return the targets that may run the request when they are free.
 
         A failed target or a bad path is used again only if the service
@@ -49,7 +49,7 @@
         clean = [
             state
             for state in other
-            if not self._avoided(request.host, state.address)
+            if not self._avoided(request.host, state.address, now)
         ]
         return clean or other or regular
 
@@ -62,11 +62,16 @@
             if self._table.running(state.address):
                 continue
             units = state.usable_units(self._table, now)
-            if units and not self._avoided(request.host, state.address):
+            if units and not self._avoided(request.host, state.address, now):
                 return state, units[0]
         return None
 
     def _choose_regular(self, allowed, request, now):
+        """Choose the target with the largest free share of its capacity.
+
+        By the number of free units, a cold target with a limit of one
+        would get no request at low load, and never become warm.
+        """
         shares = self._domain_shares()
         best = None
         best_key = None
@@ -78,8 +83,8 @@
                 continue
             key = (
                 state.target.domain in request.excluded_domains,
-                state.draining,
-                -len(units),
+                state.last_resort or state.draining,
+                -len(units) / state.capacity(self._table),
                 shares[state.target.domain],
                 state.last_grant,
             )
@@ -96,7 +101,7 @@
         for holder in self._table.holders.values():
             if holder.digest == request.digest:
                 return None
-        allowed = self._allowed(request)
+        allowed = self._allowed(request, now)
         fresh = [s for s in allowed if s.address not in suspect_targets]
         best = None
         for state in fresh or allowed:
@@ -109,18 +114,16 @@
         return None if best is None else best[1:]
 
     def _is_isolated(self, state):
-        return any(
-            holder.isolated for holder in self._table.holders_on(state.address)
-        )
+        return self._table.isolated_on(state.address)
 
     def _domain_shares(self):
         """Return the share of units in use by failure domain."""
-        held = collections.Counter()
-        used = collections.Counter()
-        for state in self._states.values():
+        held = collections.defaultdict(int)
+        used = collections.defaultdict(int)
+        for address, state in self._states.items():
             domain = state.target.domain
-            held[domain] += len(self._table.units(state.address))
-            used[domain] += self._table.running(state.address)
+            held[domain] += len(self._table.units(address))
+            used[domain] += self._table.running(address)
         return {
             domain: used[domain] / count if count else 1.0
             for domain, count in held.items()
--- /dev/null
+++ b/lavenderstile/reviews.py
@@ -0,0 +1,296 @@
+"""Review of a service's targets: evidence, hints, ejection, cold start."""
+
+import statistics
+
+from . import ejection
+from . import evidence
+from . import floors
+from . import messages
+from . import paths
+from . import silence
+from . import target_events
+from . import targets
+
+Outcome = messages.Outcome
+EventKind = target_events.EventKind
+
+_FAILED = frozenset(
+    (
+        Outcome.ERROR_STATUS,
+        Outcome.CONNECT_FAILED,
+        Outcome.TIMEOUT,
+        Outcome.TRUNCATED,
+        Outcome.CROSSED,
+        Outcome.CRASHED,
+    )
+)
+# State name of a note on a cold start, whose `returns` is the limit.
+RAMPING_NOTE = 'ramping'
+
+
+class TargetReview:
+    """What a service's owner knows of the targets, and what follows.
+
+    `states` is shared with placement; `table` is the owner's slot table.
+    """
+
+    __slots__ = (
+        '_ejection',
+        '_events',
+        '_floor',
+        '_name',
+        '_notes',
+        '_paths',
+        '_silence',
+        '_states',
+        '_table',
+        '_typical_s',
+        '_window',
+    )
+
+    def __init__(self, service_name, states, table):
+        self._name = service_name
+        self._states = states
+        self._table = table
+        self._window = evidence.EvidenceWindow()
+        self._paths = paths.PathAvoidance()
+        self._silence = silence.SilenceWatch()
+        self._ejection = ejection.EjectionPolicy(
+            service_name, states, floors.CapacityFloor(states, table)
+        )
+        self._floor = 1.0
+        # Median latency of the targets at the last evaluation, or None.
+        self._typical_s = None
+        # Notes that came before the configuration.
+        self._notes = ()
+        self._events = []
+
+    def configure(self, service, domains_out, now):
+        """Apply the configured targets and the domains' states."""
+        first = not self._states
+        self._floor = service.floor
+        addresses = {target.address for target in service.targets}
+        for address in self._states.keys() - addresses:
+            del self._states[address]
+            self._window.forget(address)
+            self._paths.forget(address)
+        for target in service.targets:
+            in_service = target.domain not in domains_out
+            state = self._states.get(target.address)
+            if state is None:
+                state = targets.TargetState(target, in_service)
+                self._states[target.address] = state
+                if not first:
+                    self._begin_cold(state, 'new target')
+                continue
+            was_open = state.open
+            state.configure(target, in_service)
+            if state.open and not was_open:
+                self._begin_cold(state, 'back in service')
+        self._ejection.forget_removed()
+        self._inherit_notes(now)
+        self.enforce_floor(now)
+
+    def enforce_floor(self, now):
+        """Bring targets back when the units no longer allow ejections."""
+        self._ejection.enforce_floor(self._floor, now)
+
+    def record(self, report, holder, now):
+        """Take the outcome of an attempt; `holder` may be unknown."""
+        state = self._states.get(report.unit.target)
+        if state is None:
+            return
+        self._note_instance(state, report.instance)
+        self._note_cold(state, report.cold)
+        failed = self._is_failure(state, report, holder)
+        self._note_ramp(state, report, holder, failed)
+        if failed is None:
+            return
+        self._note_refused(state, report)
+        if holder is not None and holder.trial:
+            slow = self._is_slow(report.latency_s, self._typical_s)
+            self._ejection.record_trial(
+                state.address, not failed and not slow, now
+            )
+            return
+        if state.ejected:
+            return
+        if holder is not None and holder.granted_at < state.evidence_since:
+            return
+        latency_s = None if failed else report.latency_s
+        self._window.record(state.address, report.host, failed, latency_s, now)
+        self._paths.record(report.host, state.address, failed, now)
+        self._silence.record(state.address, report.host, failed, now)
+
+    def hint(self, hint, now):
+        """Take what a target's health and load endpoints say."""
+        state = self._states.get(hint.target)
+        if state is None:
+            return
+        state.healthy = hint.healthy
+        state.draining = hint.draining
+        state.hint_at = now
+        state.hinted_running = hint.running
+        self._note_instance(state, hint.instance)
+        self._note_cold(state, hint.cold)
+        self._ejection.record_health(state.address, hint.healthy, now)
+
+    def evaluate(self, now):
+        """Review all targets; return the changes since the last time."""
+        regular = [a for a, state in self._states.items() if state.regular]
+        silent = self._silence.review(regular, self._table, now)
+        judgements = {
+            address: self._silence.judge(judgement)
+            for address, judgement in self._window.compare(
+                regular, now
+            ).items()
+        }
+        self._note_medians(judgements)
+        self._ejection.evaluate(judgements, silent, self._floor, now)
+        self._review_paths(regular, now)
+        self._follow_ejections()
+        events, self._events = self._events, []
+        return events
+
+    def is_avoided(self, host, target, now):
+        """Return whether a host is kept off a target."""
+        return self._paths.is_avoided(host, target, now)
+
+    def notes(self, now):
+        """Return ejections and cold starts as notes for a successor."""
+        ramping = tuple(
+            messages.EjectionNote(
+                self._name,
+                address,
+                RAMPING_NOTE,
+                0.0,
+                state.cold.limit(),
+                state.cold.reason,
+            )
+            for address, state in self._states.items()
+            if state.cold.ramping
+        )
+        return self._ejection.notes(now) + ramping
+
+    def inherit(self, notes, now):
+        """Take over a predecessor's notes."""
+        self._notes = tuple(notes)
+        self._inherit_notes(now)
+        self.enforce_floor(now)
+
+    def drop_evidence(self, now):
+        """Forget what spans a pause of this process."""
+        self._window.clear()
+        self._paths.clear()
+        self._silence.clear()
+        self._ejection.restart_trials(now)
+        for state in self._states.values():
+            state.cold.drop_progress()
+            state.refused = False
+            state.evidence_since = now
+
+    def ejection_of(self, address):
+        """Return the ejection state of a target."""
+        return self._ejection.get(address)
+
+    def avoided_hosts(self, address, now):
+        """Return the hosts that are kept off a target."""
+        avoided = self._paths.avoided(now)
+        return sorted(host for host, target in avoided if target == address)
+
+    def _inherit_notes(self, now):
+        if not self._states:
+            return
+        for note in self._notes:
+            state = self._states.get(note.target)
+            if note.state != RAMPING_NOTE:
+                self._ejection.inherit(note, now)
+            elif state is not None and not state.cold.ramping:
+                state.cold.resume(note.returns, note.reason)
+        self._notes = ()
+
+    def _is_failure(self, state, report, holder):
+        """Return whether the target failed; None if it proves nothing."""
+        if report.outcome is Outcome.ANSWERED:
+            return False
+        if report.outcome is Outcome.SHED:
+            # A target that sheds its only request does not serve.
+            alone = self._table.running(state.address) == 0
+            return True if alone and state.cold.first_step else None
+        if report.outcome is Outcome.CRASHED:
+            # A suspect's crash is the request's fault.
+            return None if holder is not None and holder.isolated else True
+        return True if report.outcome in _FAILED else None
+
+    def _note_ramp(self, state, report, holder, failed):
+        if report.outcome is Outcome.SHED:
+            self._begin_cold(state, 'shed load')
+        elif failed:
+            state.cold.record_failure()
+        elif failed is False and holder is not None:
+            if state.cold.record_good(holder.step):
+                self._log(state, EventKind.COLD_START_ENDED, 'full load')
+
+    def _note_refused(self, state, report):
+        """Begin a ramp when answers got slow after a refused connection."""
+        if report.outcome is Outcome.CONNECT_FAILED:
+            state.refused = True
+        elif report.outcome is Outcome.ANSWERED and state.refused:
+            state.refused = False
+            if self._is_slow(report.latency_s, state.median_s):
+                self._begin_cold(state, 'slow after refused connections')
+
+    def _note_instance(self, state, instance):
+        if not instance:
+            return
+        if state.instance and state.instance != instance:
+            self._begin_cold(state, 'instance changed')
+        state.instance = instance
+
+    def _note_cold(self, state, cold):
+        if state.cold.record_announcement(cold):
+            self._log(state, EventKind.COLD_START_BEGAN, state.cold.reason)
+
+    def _begin_cold(self, state, reason):
+        if state.cold.restart(reason):
+            self._log(state, EventKind.COLD_START_BEGAN, reason)
+
+    def _is_slow(self, latency_s, usual_s):
+        if latency_s is None or usual_s is None:
+            return False
+        return latency_s > max(
+            usual_s * evidence.LATENCY_FACTOR,
+            usual_s + evidence.MIN_LATENCY_EXCESS_S,
+        )
+
+    def _note_medians(self, judgements):
+        for address, judgement in judgements.items():
+            self._states[address].median_s = judgement.median_s
+        medians = [
+            judgement.median_s
+            for judgement in judgements.values()
+            if judgement.median_s is not None
+        ]
+        if medians:
+            self._typical_s = statistics.median(medians)
+
+    def _review_paths(self, regular, now):
+        found = self._paths.review(self._window, regular, self._floor, now)
+        for host, target in found:
+            self._log(
+                self._states[target],
+                EventKind.PATH_AVOIDED,
+                f'fails for host {host} alone',
+            )
+
+    def _follow_ejections(self):
+        for event in self._ejection.take_events():
+            self._events.append(event)
+            if event.kind is EventKind.EJECTED:
+                self._window.forget(event.target)
+                self._paths.forget(event.target)
+
+    def _log(self, state, kind, reason):
+        self._events.append(
+            target_events.TargetEvent(self._name, state.address, kind, reason)
+        )
--- a/lavenderstile/slots.py
+++ b/lavenderstile/slots.py
@@ -54,7 +54,9 @@
         '_by_target',
         '_by_unit',
         '_ended',
+        '_free',
         '_holders',
+        '_isolated',
         '_lost',
         '_reported',
         '_units',
@@ -62,7 +64,11 @@
 
     def __init__(self):
         self._units = {}
+        # Free units by target, until something changes there.
+        self._free = {}
         self._holders = {}
+        # Targets by the isolated grant that runs there.
+        self._isolated = {}
         self._by_unit = collections.defaultdict(set)
         self._by_target = collections.defaultdict(set)
         self._by_host = collections.defaultdict(set)
@@ -80,6 +86,7 @@
         by_target = collections.defaultdict(list)
         for unit in units:
             by_target[unit.target].append(unit)
+        self._free.clear()
         self._units = {
             target: sorted(own, key=lambda unit: unit.index)
             for target, own in by_target.items()
@@ -91,9 +98,14 @@
 
     def free_units(self, target):
         """Return the usable units of a target that nobody uses."""
-        return [
-            unit for unit in self.units(target) if unit not in self._by_unit
-        ]
+        free = self._free.get(target)
+        if free is None:
+            free = self._free[target] = [
+                unit
+                for unit in self.units(target)
+                if unit not in self._by_unit
+            ]
+        return free
 
     def running(self, target):
         """Return the number of grants in use on a target."""
@@ -104,13 +116,20 @@
         ids = self._by_target.get(target, ())
         return [self._holders[grant_id] for grant_id in ids]
 
+    def isolated_on(self, target):
+        """Return whether a grant on the target must stay the only one."""
+        return target in self._isolated
+
     def take(self, holder):
         """Record a grant as the user of its unit."""
         self._lost.pop(holder.host, None)
         self._holders[holder.grant_id] = holder
+        self._free.pop(holder.unit.target, None)
         self._by_unit[holder.unit].add(holder.grant_id)
         self._by_target[holder.unit.target].add(holder.grant_id)
         self._by_host[holder.host].add(holder.grant_id)
+        if holder.isolated:
+            self._isolated[holder.unit.target] = holder.grant_id
 
     def release(self, grant_id, now):
         """End a grant; return (holder or None, whether it is a repeat)."""
@@ -145,6 +164,12 @@
             seen_at = max(seen_at, self._holders[grant_id].granted_at)
         self._lost.setdefault(host, seen_at + HOST_LOST_S)
 
+    def renew_reports(self, now):
+        """Count all hosts as heard now, after a pause of this process."""
+        for host in self._by_host:
+            self._reported[host] = now
+        self._lost = {host: now + HOST_LOST_S for host in self._lost}
+
     def end_lost(self, now):
         """End the grants of lost hosts that are due; return the freed."""
         due = [host for host, end in self._lost.items() if end <= now]
@@ -175,6 +200,9 @@
         holder = self._holders.pop(grant_id, None)
         if holder is None:
             return None
+        self._free.pop(holder.unit.target, None)
+        if holder.isolated:
+            self._isolated.pop(holder.unit.target, None)
         for index, key in (
             (self._by_unit, holder.unit),
             (self._by_target, holder.unit.target),
--- a/lavenderstile/targets.py
+++ b/lavenderstile/targets.py
@@ -16,12 +16,15 @@
         'domain_in_service',
         'draining',
         'ejected',
+        'evidence_since',
         'first_step_since',
         'healthy',
         'hint_at',
         'hinted_running',
         'instance',
         'last_grant',
+        'last_resort',
+        'median_s',
         'refused',
         'target',
         'trial',
@@ -33,6 +36,12 @@
         self.cold = coldstart.ColdStart(target.slots)
         self.ejected = False
         self.trial = False
+        # Bad, but kept in service by the floor: used when nothing else is.
+        self.last_resort = False
+        # Outcomes of requests granted before this time say nothing new.
+        self.evidence_since = 0.0
+        # Median latency at the last evaluation, or None.
+        self.median_s = None
         self.draining = False
         self.healthy = True
         self.hint_at = None
@@ -59,6 +68,12 @@
         """Whether the target gets any kind of request."""
         return self.open and not self.ejected
 
+    def configure(self, target, domain_in_service):
+        """Apply the target's configuration and its domain's state."""
+        self.target = target
+        self.domain_in_service = domain_in_service
+        self.cold.configure(target.slots)
+
     def usable_units(self, table, now):
         """Return the free units that the ramp lets be used now."""
         free = [
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from lavenderstile import admission
 from lavenderstile import messages
 from lavenderstile import models
+from lavenderstile import pacing
 from lavenderstile import slots
 from lavenderstile import verdicts
 
@@ -169,7 +169,7 @@
         owner = fleets.Owner(units=frozenset())
         waiting = owner.ask(wait_s=60.0)
         self.assertIsInstance(waiting, messages.Queued)
-        owner.now += admission.NO_CAPACITY_WAIT_S
+        owner.now += pacing.NO_CAPACITY_WAIT_S
         refusal = owner.poll()[waiting.request_id]
         self.assertIs(refusal.reason, verdicts.Reason.NO_CAPACITY)
         self.assertIs(owner.ask().reason, verdicts.Reason.NO_CAPACITY)
