--- a/lavenderstile/placement.py
+++ b/lavenderstile/placement.py
@@ -67,11 +67,6 @@
         return None
 
     def _choose_regular(self, allowed, request, now):
-        """Choose the target with the largest free share of its capacity.
-
-        By the number of free units, a cold target with a limit of one
-        would get no request at low load, and never become warm.
-        """
         shares = self._domain_shares()
         best = None
         best_key = None
@@ -84,7 +79,7 @@
             key = (
                 state.target.domain in request.excluded_domains,
                 state.last_resort or state.draining,
-                -len(units) / state.capacity(self._table),
+                self._share_in_use(state, units),
                 shares[state.target.domain],
                 state.last_grant,
             )
@@ -92,6 +87,16 @@
                 best, best_key = (state, units[0]), key
         return best
 
+    def _share_in_use(self, state, free_units):
+        """Return the share of a target's usable units that are in use.
+
+        Comparing counts of free units instead would never choose a cold
+        target, which has few, while others are idle, so that it would
+        never become warm.
+        """
+        running = self._table.running(state.address)
+        return running / (running + len(free_units))
+
     def _choose_isolated(self, request, suspect_targets, now):
         """Choose a target for a request that may crash it.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -96,6 +96,23 @@
         self.assertEqual({grant.unit.index for grant in north}, {0})
         self.assertEqual(len(grants), 10)
 
+    def test_a_cold_domain_becomes_warm_at_low_load(self):
+        """A cold target with one usable unit still has to be chosen."""
+        owner = fleets.Owner()
+        owner.admission.configure(owner.service, {'north'}, owner.now)
+        owner.admission.configure(owner.service, frozenset(), owner.now)
+        chosen = set()
+        for _ in range(60):
+            grant = owner.ask()
+            chosen.add(grant.unit.target)
+            owner.release(grant)
+        cold = {
+            target.address
+            for target in owner.service.targets
+            if target.domain == 'north'
+        }
+        self.assertLessEqual(cold, chosen)
+
     def test_a_leaving_target_gets_nothing_new(self):
         leaving = self.service.targets[0].address
         self._configure(fleets.make_service(6, 2, leaving=(leaving,)))
