--- a/lavenderstile/reviews.py
+++ b/lavenderstile/reviews.py
@@ -2,14 +2,14 @@
 
 import statistics
 
+from . import avoidance
 from . import ejection
 from . import evidence
 from . import floors
 from . import messages
-from . import paths
-from . import silence
 from . import target_events
 from . import targets
+from . import unanswered
 
 Outcome = messages.Outcome
 EventKind = target_events.EventKind
@@ -53,8 +53,8 @@
         self._states = states
         self._table = table
         self._window = evidence.EvidenceWindow()
-        self._paths = paths.PathAvoidance()
-        self._silence = silence.SilenceWatch()
+        self._paths = avoidance.PathAvoidance()
+        self._silence = unanswered.SilenceWatch()
         self._ejection = ejection.EjectionPolicy(
             service_name, states, floors.CapacityFloor(states, table)
         )
--- a/tests/test_paths.py
+++ b/tests/test_avoidance.py
@@ -2,8 +2,8 @@
 
 import unittest
 
+from lavenderstile import avoidance
 from lavenderstile import evidence
-from lavenderstile import paths
 
 TARGETS = ['t0', 't1', 't2', 't3', 't4', 't5', 't6', 't7']
 
@@ -12,7 +12,7 @@
     """Guards against requests that keep failing on one bad path."""
 
     def setUp(self):
-        self.paths = paths.PathAvoidance()
+        self.paths = avoidance.PathAvoidance()
         self.window = evidence.EvidenceWindow()
 
     def _record(self, host, target, failed, now, count=1):
@@ -76,8 +76,8 @@
         self.assertEqual(self._review(8.0), [])
 
     def test_memory_is_bounded(self):
-        for number in range(paths.MAX_PATHS + 5):
+        for number in range(avoidance.MAX_PATHS + 5):
             self.paths.record(f'h{number}', 't0', True, 1.0)
         found = self.paths.review(self.window, TARGETS, 0.7, 1.0)
         self.assertEqual(found, [])
-        self.assertEqual(len(self.paths), paths.MAX_PATHS)
+        self.assertEqual(len(self.paths), avoidance.MAX_PATHS)
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -6,11 +6,11 @@
 import unittest
 from unittest import mock
 
+from lavenderstile import avoidance
 from lavenderstile import ejection
 from lavenderstile import evidence
 from lavenderstile import floors
 from lavenderstile import messages
-from lavenderstile import paths
 from lavenderstile import reviews
 from lavenderstile import slots
 from lavenderstile import target_events
@@ -462,7 +462,7 @@
             return simulation.DEAD if bad else simulation.GOOD
 
         with mock.patch.object(
-            paths.PathAvoidance, 'review', autospec=True, return_value=[]
+            avoidance.PathAvoidance, 'review', autospec=True, return_value=[]
         ):
             self.assertEqual(self._run(choose, hosts=4).ejections(), [])
             with mock.patch.object(
