Let slot units that come back settle before they are granted

Cause: a unit whose lease moves to another owner and back can still be in use by that owner's grant, which this owner has never heard of. Only a new owner waited for the hosts' reports, so such a unit was granted twice.

Change: each new unit waits for one exchange (1 s); a handover with the complete list of grants uses the units at once. set_units() with an unchanged set returns at once, as owners call it for every request. The queue is not searched while no target has room.

With SETTLE_S = 0 the test shows two grants on one unit; with the wait the adopted grant keeps it busy.

--- a/lavenderstile/admission.py
+++ b/lavenderstile/admission.py
@@ -8,14 +8,11 @@
 from . import pacing
 from . import placement
 from . import queueing
+from . import refusals
 from . import retries
 from . import reviews
 from . import slots
-from . import verdicts
 
-# A new owner waits for one exchange, in which the hosts report the grants
-# of its predecessor.
-SETTLE_S = 1.0
 SHED_INTERVAL_S = 0.2
 
 
@@ -63,7 +60,9 @@
         self._dirty = False
         self._pace = pacing.Pace(self._states, self._table)
         self._next_shed = now
-        self._settle_until = now + SETTLE_S
+        # A new owner waits for one exchange, in which the hosts report the
+        # grants of its predecessor.
+        self._settle_until = now + slots.SETTLE_S
 
     @property
     def settle_until(self):
@@ -72,7 +71,8 @@
 
     def settle(self, now):
         """Begin anew as an owner that does not know the running grants."""
-        self._settle_until = now + SETTLE_S
+        self._settle_until = now + slots.SETTLE_S
+        self._table.restart_settling(now)
 
     def configure(self, service, domains_out, now):
         """Apply the service's configuration and the domains' states."""
@@ -82,11 +82,10 @@
 
     def set_units(self, units, now):
         """Replace the slot units that this owner may use."""
-        self._table.set_units(
-            unit for unit in units if unit.service == self._name
-        )
-        self._review.enforce_floor(now)
-        self._dirty = True
+        own = frozenset(unit for unit in units if unit.service == self._name)
+        if self._table.set_units(own, now):
+            self._review.enforce_floor(now)
+            self._dirty = True
 
     def request(self, request, now):
         """Decide on a request: a grant, a place in the queue or a refusal."""
@@ -95,6 +94,8 @@
         refusal = self._refuse_early(request, now)
         if refusal is not None:
             return refusal
+        if self._table.settle(now):
+            self._dirty = True
         if not len(self._queue) and now >= self._settle_until:
             grant = self._place(request, now)
             if grant is not None:
@@ -107,8 +108,8 @@
 
     def poll(self, now):
         """Return the decisions on queued requests that are due."""
-        if self._table.end_lost(now):
-            self._dirty = True
+        self._table.settle(now)
+        self._table.end_lost(now)
         if now >= self._next_shed:
             self._next_shed = now + SHED_INTERVAL_S
             self._shed(now)
@@ -130,6 +131,9 @@
             times.append(max(self._next_shed, now))
             if self._settle_until > now:
                 times.append(self._settle_until)
+            settled_at = self._table.next_settled()
+            if settled_at is not None:
+                times.append(settled_at)
         return min(times, default=None)
 
     def cancel(self, request_id, now):
@@ -156,12 +160,7 @@
         self._table.lose_host(host, now)
         for request in self._queue.requests:
             if request.host == host:
-                self._queue.remove(request.request_id)
-                self._refuse(
-                    request.request_id,
-                    verdicts.Reason.OWNER_UNREACHABLE,
-                    f'the owner has lost contact with host {host}',
-                )
+                self._refuse_queued(request, refusals.refuse_lost_host(host))
 
     def hint(self, hint, now):
         """Take what a target's health and load endpoints say."""
@@ -198,6 +197,7 @@
             own = [grant for grant in running if grant.host == host]
             self.adopt(host, own, now)
         self._settle_until = now
+        self._table.trust_units(now)
         self._dirty = True
 
     def drop_evidence(self, now):
@@ -236,42 +236,22 @@
 
     def _refuse_early(self, request, now):
         if self._service is None:
-            return verdicts.Refusal(
-                verdicts.Reason.SERVICE_UNKNOWN,
-                f'service {self._name} is not configured here',
-            )
+            return refusals.refuse_unknown(self._name)
         if self._crashes.is_blocked(request.digest, now):
             return self._refuse_crashing(request, now)
         if request.attempt <= 1:
             self._retries.record_request()
         elif not self._retries.take():
-            return verdicts.Refusal(
-                verdicts.Reason.NO_CAPACITY,
-                f'the retry budget of service {self._name} is used up',
-            )
+            return refusals.refuse_retry(self._name)
         if not any(state.open for state in self._states.values()):
-            return verdicts.Refusal(
-                verdicts.Reason.NO_CAPACITY,
-                f'no target of service {self._name} is in service',
-                retry_after_s=1.0,
-            )
+            return refusals.refuse_closed(self._name)
         if self._pace.is_empty(now):
-            return self._refuse_empty()
+            return refusals.refuse_empty(self._name)
         return None
 
-    def _refuse_empty(self):
-        return verdicts.Refusal(
-            verdicts.Reason.NO_CAPACITY,
-            f'this owner holds no usable slot of service {self._name}',
-            retry_after_s=1.0,
-        )
-
     def _refuse_crashing(self, request, now):
         crashed = self._crashes.crashed_targets(request.digest, now)
-        return verdicts.Refusal(
-            verdicts.Reason.CRASHES_TARGETS,
-            f'requests like this one crashed {len(crashed)} targets',
-        )
+        return refusals.refuse_crashing(crashed)
 
     def _place(self, request, now):
         """Return a grant for the request, or None if nothing is free."""
@@ -309,18 +289,14 @@
                 )
             if request.deadline <= now:
                 return messages.Decision(
-                    request.request_id,
-                    verdicts.Refusal(
-                        verdicts.Reason.QUEUE_DEADLINE,
-                        'the deadline passed in the queue',
-                    ),
+                    request.request_id, refusals.refuse_late()
                 )
             grant = self._place(request, now)
             if grant is None:
                 return None
             return messages.Decision(request.request_id, grant)
 
-        while len(self._queue):
+        while len(self._queue) and self._placement.has_room(now):
             decision = self._queue.pop(place)
             if decision is None:
                 break
@@ -328,20 +304,17 @@
 
     def _shed(self, now):
         if self._pace.is_empty(now):
+            refusal = refusals.refuse_empty(self._name)
             for request in self._queue.requests:
-                self._queue.remove(request.request_id)
-                self._decisions.append(
-                    messages.Decision(request.request_id, self._refuse_empty())
-                )
+                self._refuse_queued(request, refusal)
         for shed in self._queue.expire(now, self._pace.interval_s):
             self._decisions.append(
                 messages.Decision(shed.request_id, shed.refusal)
             )
 
-    def _refuse(self, request_id, reason, detail):
-        self._decisions.append(
-            messages.Decision(request_id, verdicts.Refusal(reason, detail))
-        )
+    def _refuse_queued(self, request, refusal):
+        self._queue.remove(request.request_id)
+        self._decisions.append(messages.Decision(request.request_id, refusal))
 
     def _record(self, report, holder, now):
         outcome = report.outcome
--- a/lavenderstile/placement.py
+++ b/lavenderstile/placement.py
@@ -30,6 +30,15 @@
             return trial
         return self._choose_regular(self._allowed(request, now), request, now)
 
+    def has_room(self, now):
+        """Return whether any target may get one more request."""
+        return any(
+            state.open
+            and (state.trial or not state.ejected)
+            and state.usable_units(self._table, now)
+            for state in self._states.values()
+        )
+
     def _allowed(self, request, now):
         """Return the targets that may run the request when they are free.
 
--- a/lavenderstile/queueing.py
+++ b/lavenderstile/queueing.py
@@ -7,7 +7,7 @@
 
 # Entries per workspace that are tried when the first one cannot run on any
 # free target; bounds the work of one turn.
-LOOKAHEAD = 8
+LOOKAHEAD = 4
 # Bounds memory while no service time is known or no slot is held.
 MAX_ENTRIES = 10_000
 MIN_RETRY_AFTER_S = 0.1
--- /dev/null
+++ b/lavenderstile/refusals.py
@@ -0,0 +1,64 @@
+"""Refusals of a service's owner; in all of them nothing has run."""
+
+from . import verdicts
+
+# Time in which an owner usually gets slots again after a change.
+RETRY_AFTER_S = 1.0
+
+
+def refuse_unknown(service):
+    """Return the refusal for a service without configuration."""
+    return verdicts.Refusal(
+        verdicts.Reason.SERVICE_UNKNOWN,
+        f'service {service} is not configured here',
+    )
+
+
+def refuse_crashing(targets):
+    """Return the refusal of a request that crashed `targets`."""
+    return verdicts.Refusal(
+        verdicts.Reason.CRASHES_TARGETS,
+        f'requests like this one crashed {", ".join(targets)}',
+    )
+
+
+def refuse_retry(service):
+    """Return the refusal of a retry over the budget."""
+    return verdicts.Refusal(
+        verdicts.Reason.NO_CAPACITY,
+        f'the retry budget of service {service} is used up',
+    )
+
+
+def refuse_closed(service):
+    """Return the refusal when no target takes new requests."""
+    return verdicts.Refusal(
+        verdicts.Reason.NO_CAPACITY,
+        f'no target of service {service} is in service',
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def refuse_empty(service):
+    """Return the refusal of an owner without usable slots."""
+    return verdicts.Refusal(
+        verdicts.Reason.NO_CAPACITY,
+        f'this owner holds no usable slot of service {service}',
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def refuse_late():
+    """Return the refusal of a request whose deadline has passed."""
+    return verdicts.Refusal(
+        verdicts.Reason.QUEUE_DEADLINE,
+        'the deadline passed in the queue',
+    )
+
+
+def refuse_lost_host(host):
+    """Return the refusal for a host that the owner no longer hears."""
+    return verdicts.Refusal(
+        verdicts.Reason.OWNER_UNREACHABLE,
+        f'the owner has lost contact with host {host}',
+    )
--- a/lavenderstile/slots.py
+++ b/lavenderstile/slots.py
@@ -5,6 +5,9 @@
 # A grant may be missing from a report that was sent before it arrived.
 GRANT_REPORT_S = 3.0
 MISSING_REPORTS = 2
+# A unit that comes back may be in use by a grant of another owner, which
+# the hosts report within one exchange.
+SETTLE_S = 1.0
 # A host that is gone has closed its connections after this time.
 HOST_LOST_S = 3.0
 # Late reports may list a grant, and late releases name it again, for as
@@ -59,11 +62,18 @@
         '_isolated',
         '_lost',
         '_reported',
+        '_settling',
+        '_trusted_until',
         '_units',
+        '_units_given',
     )
 
     def __init__(self):
         self._units = {}
+        self._units_given = frozenset()
+        # When new units may be granted, by unit.
+        self._settling = {}
+        self._trusted_until = 0.0
         # Free units by target, until something changes there.
         self._free = {}
         self._holders = {}
@@ -81,16 +91,59 @@
         """All grants in use, by id."""
         return self._holders
 
-    def set_units(self, units):
-        """Replace the set of usable units."""
+    def set_units(self, units, now):
+        """Replace the set of usable units; return whether it changed.
+
+        A new unit is granted only after the hosts could report its use.
+        """
+        if units == self._units_given:
+            return False
+        usable_at = now if now < self._trusted_until else now + SETTLE_S
+        settling = {
+            unit: self._settling.get(unit, usable_at)
+            for unit in units
+            if unit in self._settling or unit not in self._units_given
+        }
+        self._settling = settling
+        self._units_given = units
         by_target = collections.defaultdict(list)
         for unit in units:
             by_target[unit.target].append(unit)
-        self._free.clear()
         self._units = {
             target: sorted(own, key=lambda unit: unit.index)
             for target, own in by_target.items()
         }
+        self._free.clear()
+        return True
+
+    def settle(self, now):
+        """Count the units that have waited long enough as usable.
+
+        Return whether there are any.
+        """
+        if not self._settling or self.next_settled() > now:
+            return False
+        self._settling = {
+            unit: at for unit, at in self._settling.items() if at > now
+        }
+        self._free.clear()
+        return True
+
+    def next_settled(self):
+        """Return when the next unit becomes usable, or None."""
+        return min(self._settling.values(), default=None)
+
+    def restart_settling(self, now):
+        """Let all units wait again, after a time without any news."""
+        self._trusted_until = 0.0
+        self._settling = dict.fromkeys(self._units_given, now + SETTLE_S)
+        self._free.clear()
+
+    def trust_units(self, now):
+        """Use all units at once, as all running grants are known."""
+        self._trusted_until = now + SETTLE_S
+        self._settling.clear()
+        self._free.clear()
 
     def units(self, target):
         """Return the usable units of a target, by index."""
@@ -103,7 +156,7 @@
             free = self._free[target] = [
                 unit
                 for unit in self.units(target)
-                if unit not in self._by_unit
+                if unit not in self._by_unit and unit not in self._settling
             ]
         return free
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -264,8 +264,8 @@
         print(f'{name}: {texts[0]}; baseline {texts[1]}', flush=True)
 
 
-def _print_false_ejections(hours, rate):
-    for name in HEALTHY_BEHAVIOURS:
+def _print_false_ejections(hours, rate, names):
+    for name in names or HEALTHY_BEHAVIOURS:
         own, base = measure_false_ejections(name, 1, hours * 3600.0, rate)
         target_hours = hours * 12
         print(
@@ -276,14 +276,14 @@
 
 
 def main(arguments):
-    """Print the figures of `detection [seeds]` or `false [hours rate]`."""
+    """Print the figures of `detection SEEDS` or `false HOURS RATE [NAME]`."""
     match arguments:
         case ['detection', seeds]:
             _print_detection(int(seeds))
-        case ['false', hours, rate]:
-            _print_false_ejections(float(hours), float(rate))
+        case ['false', hours, rate, *names]:
+            _print_false_ejections(float(hours), float(rate), names)
         case _:
-            sys.exit('usage: detection SEEDS | false HOURS RATE')
+            sys.exit('usage: detection SEEDS | false HOURS RATE [NAME]')
 
 
 if __name__ == '__main__':
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Tests of the admission of requests to a service."""
 
 import unittest
+from unittest import mock
 
 from lavenderstile import messages
 from lavenderstile import models
@@ -192,6 +193,7 @@
         self.assertIs(owner.ask().reason, verdicts.Reason.NO_CAPACITY)
         units = fleets.all_units(owner.service)
         owner.admission.set_units(units, owner.now)
+        owner.now += slots.SETTLE_S
         self.assertIsInstance(owner.ask(), messages.Grant)
 
 
@@ -327,6 +329,34 @@
         self.assertEqual(owner.ask().unit.index, 1)
         self.assertIsInstance(owner.ask(), messages.Queued)
 
+    def test_a_unit_that_comes_back_waits_for_reports_of_its_use(self):
+        owner = fleets.Owner(fleets.make_service(1, 2))
+        units = sorted(fleets.all_units(owner.service))
+        owner.admission.set_units(frozenset(units[:1]), owner.now)
+        # Another owner grants the second unit meanwhile.
+        owner.now += 5.0
+        owner.admission.set_units(frozenset(units), owner.now)
+        self.assertEqual(owner.ask().unit, units[0])
+        waiting = owner.ask()
+        self.assertIsInstance(waiting, messages.Queued)
+        running = (messages.RunningGrant('other-1', 'h7', units[1]),)
+        owner.admission.adopt('h7', running, owner.now)
+        owner.poll()
+        self.assertLessEqual(
+            owner.admission.next_poll(owner.now), owner.now + slots.SETTLE_S
+        )
+        owner.now += slots.SETTLE_S
+        self.assertEqual(owner.poll(), {})
+
+    def test_without_the_wait_a_unit_is_used_twice(self):
+        with mock.patch.object(slots, 'SETTLE_S', 0.0):
+            owner = fleets.Owner(fleets.make_service(1, 1), settled=False)
+            grant = owner.ask()
+        running = (messages.RunningGrant('other-1', 'h7', grant.unit),)
+        owner.admission.adopt('h7', running, owner.now)
+        dumped = owner.admission.dump(owner.now)['targets']
+        self.assertEqual(dumped['10.0.0.0:80']['running'], 2)
+
     def test_a_crashing_request_stays_blocked(self):
         owner = fleets.Owner()
         for _ in range(2):
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -49,7 +49,7 @@
         self.floor = floor
         self.now = 100.0
         self.table = slots.SlotTable()
-        self.table.set_units(units or fleets.all_units(service))
+        self.table.set_units(units or fleets.all_units(service), 0.0)
         self.states = {
             target.address: targets.TargetState(target, True)
             for target in service.targets
@@ -289,12 +289,12 @@
     def test_units_taken_back_bring_targets_back(self):
         fleet = Policy()
         fleet.eject(address(0), address(1), address(2))
-        few = [
+        few = frozenset(
             unit
             for unit in fleets.all_units(fleets.make_service(12, 3))
             if unit.target in fleet.out()[:2] or unit.target == address(9)
-        ]
-        fleet.table.set_units(few)
+        )
+        fleet.table.set_units(few, fleet.now)
         fleet.policy.enforce_floor(0.7, fleet.now)
         self.assertEqual(fleet.out(), [address(2)])
 
