Refresh indexes by change and shrink the state in memory

Each change rebuilt the key ring and the route table, and the state held one version tuple and one (kind, name) tuple per object.

KeyRing.refresh and RouteTable.refresh replace the changed names only. Tickets share one version tuple with all their objects, versions are kept by kind, and the key ring refers to the workspaces instead of copying digests. Hypothesis compares refreshed indexes with new ones.

--- a/lavenderstile/admin_client.py
+++ b/lavenderstile/admin_client.py
@@ -77,7 +77,7 @@
     try:
         return await client.request(method, f'http://{address}{path}'), None
     except httpx.HTTPError as error:
-        return None, f'unreachable: {error or type(error).__name__}'
+        return None, f'unreachable: {str(error) or type(error).__name__}'
 
 
 def _decode(address, answer_type, response, error):
--- a/lavenderstile/configuration.py
+++ b/lavenderstile/configuration.py
@@ -90,7 +90,7 @@
 
     def __init__(self):
         self._snapshot = Snapshot()
-        self._versions = {}
+        self._versions = {kind: {} for kind in tickets.KINDS}
         self._texts = {}
         self._uses = {}
         self._digests = {}
@@ -145,7 +145,7 @@
         A fleet that returns to an earlier list gets another version, since
         claims made in between are known to other homes only.
         """
-        version = self._versions.get(('fleet', tickets.FLEET))
+        version = self._versions['fleet'].get(tickets.FLEET)
         if version is None:
             return ''
         return f'{version[0]}-{version[1].hex()[:16]}'
@@ -180,7 +180,11 @@
 
         Removed objects are listed too, as their tombstones are in force.
         """
-        return dict(self._versions)
+        return {
+            (kind, name): version
+            for kind, versions in self._versions.items()
+            for name, version in versions.items()
+        }
 
     @property
     def unresolved(self):
@@ -218,7 +222,8 @@
         changed = []
         ignored = []
         for item, model in ticket.objects.items():
-            old = self._versions.get(item)
+            kind, name = item
+            old = self._versions[kind].get(name)
             if old is not None and not self._supersedes(ticket.version, old):
                 ignored.append(item)
                 continue
@@ -233,7 +238,8 @@
         return new > old
 
     def _set_version(self, item, old, ticket):
-        self._versions[item] = ticket.version
+        kind, name = item
+        self._versions[kind][name] = ticket.version
         self._sum += _hash_version(item, ticket.version)
         if old is not None:
             self._sum -= _hash_version(item, old)
@@ -270,6 +276,16 @@
         return any((number, digest) in self._uses for digest in digests)
 
 
+def collect_names(results, kind):
+    """Return the names of one kind that ApplyResults changed."""
+    return {
+        name
+        for result in results
+        for changed_kind, name in result.changed
+        if changed_kind == kind
+    }
+
+
 def _hash_version(item, version):
     kind, name = item
     number, digest = version
--- a/lavenderstile/keys.py
+++ b/lavenderstile/keys.py
@@ -8,8 +8,11 @@
 MAX_HEADER_CHARS = 4096
 
 # Digests are indexed by this many hexadecimal digits, so that only the
-# rest of a digest, compared in constant time, decides.
-INDEX_DIGITS = 16
+# comparison of whole digests in constant time decides. 60 bits make an
+# integer of 32 bytes, half the size of a string.
+INDEX_DIGITS = 15
+
+HEX_DIGEST = re.compile('[0-9a-f]{64}')
 
 # RFC 6750, section 2.1; the scheme's case is ignored (RFC 9110, 11.1).
 _BEARER = re.compile(r'(?i:bearer) +([A-Za-z0-9\-._~+/]+=*) *')
@@ -37,51 +40,106 @@
     request must not run for a workspace chosen by accident.
     """
 
-    __slots__ = ('_index',)
+    __slots__ = ('_index', '_workspaces')
 
-    def __init__(self, index):
-        self._index = index
+    def __init__(self, workspaces):
+        """Build the ring from a dict of workspaces by name."""
+        self._workspaces = workspaces
+        self._index = {}
+        for workspace in workspaces.values():
+            self._add(workspace)
 
     def __repr__(self):
-        return f'<KeyRing of {len(self._index)} index entries>'
+        return f'<KeyRing of {len(self._workspaces)} workspaces>'
 
     @classmethod
     def from_workspaces(cls, workspaces):
         """Build the ring from a dict of workspaces by name."""
-        index = {}
-        for workspace in workspaces.values():
-            for digest in workspace.key_digests:
-                entry = (digest, workspace.name)
-                prefix = digest[:INDEX_DIGITS]
-                index[prefix] = index.get(prefix, ()) + (entry,)
-        return cls(index)
+        return cls(workspaces)
 
     @property
     def ambiguous(self):
         """Names of workspaces that share a key digest with another one."""
         names = set()
-        for entries in self._index.values():
-            if len(entries) > 1:
-                names.update(_find_shared(entries))
+        for entry in self._index.values():
+            if isinstance(entry, tuple):
+                names.update(self._find_shared(entry))
         return frozenset(names)
 
+    def refresh(self, workspaces, names):
+        """Replace the workspaces `names`, all that differ in the dict.
+
+        Takes time in proportion to the change, unlike a new ring.
+        """
+        for name in names:
+            if name in self._workspaces:
+                self._remove(self._workspaces[name])
+        self._workspaces = workspaces
+        for name in names:
+            if name in workspaces:
+                self._add(workspaces[name])
+
     def find(self, key):
         """Return the name of the workspace of `key`, or None."""
         return self.find_digest(digest_key(key))
 
     def find_digest(self, digest):
         """Return the name of the workspace of a key digest, or None."""
-        names = set()
-        for stored, name in self._index.get(digest[:INDEX_DIGITS], ()):
-            if hmac.compare_digest(stored, digest):
-                names.add(name)
-        return names.pop() if len(names) == 1 else None
-
-
-def _find_shared(entries):
-    owners = {}
-    for digest, name in entries:
-        owners.setdefault(digest, set()).add(name)
-    for names in owners.values():
+        if not HEX_DIGEST.fullmatch(digest):
+            return None
+        found = None
+        for name in _as_tuple(self._index.get(_index_of(digest))):
+            if self._has_digest(name, digest):
+                if found is not None:
+                    return None
+                found = name
+        return found
+
+    def _has_digest(self, name, digest):
+        return any(
+            hmac.compare_digest(stored, digest)
+            for stored in self._workspaces[name].key_digests
+        )
+
+    def _add(self, workspace):
+        for prefix in set(map(_index_of, workspace.key_digests)):
+            names = _as_tuple(self._index.get(prefix))
+            self._set_names(prefix, (*names, workspace.name))
+
+    def _remove(self, workspace):
+        for prefix in set(map(_index_of, workspace.key_digests)):
+            names = _as_tuple(self._index[prefix])
+            rest = tuple(name for name in names if name != workspace.name)
+            self._set_names(prefix, rest)
+
+    def _set_names(self, prefix, names):
+        # A prefix nearly always has one name, kept without a tuple.
         if len(names) > 1:
-            yield from names
+            self._index[prefix] = names
+        elif names:
+            self._index[prefix] = names[0]
+        else:
+            del self._index[prefix]
+
+    def _find_shared(self, names):
+        owners = {}
+        for name in names:
+            for digest in set(self._workspaces[name].key_digests):
+                owners.setdefault(digest, []).append(name)
+        for sharing in owners.values():
+            if len(sharing) > 1:
+                yield from sharing
+
+
+def _index_of(digest):
+    return int(digest[:INDEX_DIGITS], 16)
+
+
+def _as_tuple(entry):
+    match entry:
+        case None:
+            return ()
+        case tuple():
+            return entry
+        case _:
+            return (entry,)
--- a/lavenderstile/routes.py
+++ b/lavenderstile/routes.py
@@ -22,13 +22,27 @@
     Among routes of one prefix, the lowest name wins.
     """
 
-    __slots__ = ('_root',)
+    __slots__ = ('_root', '_routes')
 
     def __init__(self, routes):
         """Build the table from a dict of routes by name."""
         self._root = _Node()
-        for name in sorted(routes):
-            self._insert(routes[name])
+        self._routes = routes
+        for route in routes.values():
+            self._insert(route)
+
+    def refresh(self, routes, names):
+        """Replace the routes `names`, all that differ in the dict.
+
+        Takes time in proportion to the change, unlike a new table.
+        """
+        for name in names:
+            if name in self._routes:
+                self._remove(self._routes[name])
+        self._routes = routes
+        for name in names:
+            if name in routes:
+                self._insert(routes[name])
 
     def _insert(self, route):
         node = self._root
@@ -39,7 +53,21 @@
             if child is None:
                 child = node.children[segment] = _Node()
             node = child
-        node.routes += (route,)
+        ordered = sorted((*node.routes, route), key=_get_name)
+        node.routes = tuple(ordered)
+
+    def _remove(self, route):
+        node = self._root
+        visited = []
+        for segment in paths.split_path(route.path):
+            visited.append((node, segment))
+            node = node.children[segment]
+        node.routes = tuple(r for r in node.routes if r.name != route.name)
+        for parent, segment in reversed(visited):
+            child = parent.children[segment]
+            if child.routes or child.children:
+                break
+            del parent.children[segment]
 
     def find_candidates(self, path):
         """Return the routes of the longest prefix of a raw path."""
@@ -78,3 +106,7 @@
         for route in self.find_candidates(path):
             methods.update(route.methods)
         return tuple(sorted(methods))
+
+
+def _get_name(route):
+    return route.name
--- /dev/null
+++ b/tests/measure_configuration.py
@@ -0,0 +1,176 @@
+"""Prints memory and time per configured object at growing sizes.
+
+Not a test. Run from the root of the repository:
+
+    python -m tests.measure_configuration
+"""
+
+import gc
+import hashlib
+import statistics
+import time
+import tracemalloc
+
+from lavenderstile import configuration
+from lavenderstile import keys
+from lavenderstile import routes
+from lavenderstile import tickets
+
+SIZES = (1_000, 10_000, 100_000)
+
+# Objects per ticket; 1,000 workspaces make a ticket of 140 KB.
+PER_TICKET = 1_000
+
+LOOKUPS = 20_000
+CHANGES = 20
+
+
+def workspace_table(number):
+    """Return a workspace with one key."""
+    digest = hashlib.sha256(f'key-{number}'.encode()).hexdigest()
+    return (
+        f'[workspaces.w{number}]\nkey_digests = ["{digest}"]\n'
+        'rate = 100\nburst = 50\n'
+    )
+
+
+def route_table(number):
+    """Return a route with a path of three segments."""
+    path = f'/v1/s{number % 1000}/r{number}'
+    return (
+        f'[routes.r{number}]\npath = "{path}"\n'
+        f'methods = ["GET"]\nservice = "s{number % 1000}"\n'
+    )
+
+
+def service_table(number):
+    """Return a service with 20 targets, the mean of the expected size."""
+    targets = ', '.join(
+        f'{{address = "10.{number >> 8}.{number & 255}.{index}:80", '
+        f'domain = "d{index % 3}", slots = 4}}'
+        for index in range(20)
+    )
+    return f'[services.s{number}]\ntargets = [{targets}]\n'
+
+
+def build_texts(count, build_table, per_ticket):
+    """Return the texts of tickets with `count` objects in all."""
+    return [
+        f'ticket = {start + 1}\n'
+        + ''.join(map(build_table, range(start, start + per_ticket)))
+        for start in range(0, count, per_ticket)
+    ]
+
+
+def measure(build):
+    """Return the result, the seconds and the bytes kept by `build`."""
+    gc.collect()
+    started = time.perf_counter()
+    result = build()
+    seconds = time.perf_counter() - started
+    del result
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    result = build()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return result, seconds, size
+
+
+def build_configuration(texts):
+    """Return a configuration with the texts in force."""
+    state = configuration.Configuration()
+    state.apply_all([tickets.parse_ticket(text, 'm') for text in texts])
+    return state
+
+
+def report(name, count, value, unit):
+    """Print one figure."""
+    print(f'{name:34} {count:>8} {value:12.3f} {unit}')
+
+
+def time_calls(call, arguments):
+    """Return the mean microseconds of a call."""
+    started = time.perf_counter()
+    for argument in arguments:
+        call(argument)
+    return (time.perf_counter() - started) / len(arguments) * 1e6
+
+
+def measure_state(kind, count, build_table, per_ticket, weight=1):
+    """Print the figures of Configuration for one kind of object."""
+    texts = build_texts(count // weight, build_table, per_ticket)
+    state, seconds, size = measure(lambda: build_configuration(texts))
+    held = sum(len(text) for text in state.tickets.values())
+    report(f'{kind}: parse and apply', count, seconds / count * 1e6, 'us')
+    report(f'{kind}: memory', count, size / count, 'bytes')
+    report(f'{kind}: of it ticket texts', count, held / count, 'bytes')
+    report(f'{kind}: largest ticket', count, max(map(len, texts)), 'bytes')
+    return state
+
+
+def measure_change(kind, state, build_table, index=None):
+    """Print the time of a ticket that changes one object.
+
+    `index` is the key ring or route table that is refreshed too.
+    """
+    applied = []
+    refreshed = []
+    for number in range(CHANGES):
+        text = f'ticket = {10**7 + number}\n{build_table(number)}'
+        ticket = tickets.parse_ticket(text, 'm')
+        started = time.perf_counter()
+        result = state.apply(ticket)
+        applied.append(time.perf_counter() - started)
+        if index is not None:
+            names = configuration.collect_names([result], kind)
+            started = time.perf_counter()
+            index.refresh(getattr(state, kind), names)
+            refreshed.append(time.perf_counter() - started)
+    count = len(getattr(state, kind))
+    report(f'{kind}: apply one', count, statistics.median(applied) * 1e3, 'ms')
+    if refreshed:
+        spent = statistics.median(refreshed) * 1e3
+        report(f'{kind}: refresh index', count, spent, 'ms')
+
+
+def measure_keys(state, count):
+    """Print the figures of KeyRing."""
+    ring, seconds, size = measure(
+        lambda: keys.KeyRing.from_workspaces(state.workspaces)
+    )
+    report('key ring: build', count, seconds / count * 1e6, 'us')
+    report('key ring: memory', count, size / count, 'bytes')
+    known = [f'key-{n % count}' for n in range(LOOKUPS)]
+    report('key ring: find', count, time_calls(ring.find, known), 'us')
+    return ring
+
+
+def measure_routes(state, count):
+    """Print the figures of RouteTable."""
+    table, seconds, size = measure(lambda: routes.RouteTable(state.routes))
+    report('route table: build', count, seconds / count * 1e6, 'us')
+    report('route table: memory', count, size / count, 'bytes')
+    known = [f'/v1/s{n % count % 1000}/r{n % count}/x' for n in range(LOOKUPS)]
+    spent = time_calls(lambda path: table.match('GET', path), known)
+    report('route table: match', count, spent, 'us')
+    return table
+
+
+def main():
+    """Print all figures."""
+    for count in SIZES:
+        state = measure_state('workspaces', count, workspace_table, PER_TICKET)
+        ring = measure_keys(state, count)
+        measure_change('workspaces', state, workspace_table, ring)
+        state = measure_state('routes', count, route_table, PER_TICKET)
+        table = measure_routes(state, count)
+        measure_change('routes', state, route_table, table)
+        state = measure_state('targets', count, service_table, 50, 20)
+        measure_change('services', state, service_table)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -139,6 +139,27 @@
             self.assertEqual(getattr(one, name), getattr(other, name))
 
 
+class CollectNamesTest(unittest.TestCase):
+    """Guards against indexes that miss a changed object."""
+
+    def test_names_of_one_kind(self):
+        state = configuration.Configuration()
+        results = state.apply_all(
+            [
+                domain_ticket(1, 'a', 'b'),
+                removal_ticket(2, 'b'),
+                parse('ticket = 3\n[services.s]\ntargets = []\n'),
+                domain_ticket(1, 'a'),
+            ]
+        )
+        self.assertEqual(
+            configuration.collect_names(results, 'domains'), {'a', 'b'}
+        )
+        self.assertEqual(
+            configuration.collect_names(results, 'services'), {'s'}
+        )
+
+
 class FleetTest(unittest.TestCase):
     """Guards against hosts that take different fleets for the same one."""
 
--- a/tests/test_configuration_merge.py
+++ b/tests/test_configuration_merge.py
@@ -26,8 +26,8 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=100,
-    stateful_step_count=30,
+    max_examples=200,
+    stateful_step_count=40,
 )
 
 # A weakened merge only has to fail; its example need not be the shortest.
@@ -200,9 +200,9 @@
     def apply(self, ticket):
         """Apply a ticket and forget the objects that it removes."""
         result = super().apply(ticket)
-        for item in result.changed:
-            if ticket.objects[item] is None:
-                self._drop_use(self._versions.pop(item))
+        for kind, name in result.changed:
+            if ticket.objects[kind, name] is None:
+                self._drop_use(self._versions[kind].pop(name))
         return result
 
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -7,6 +7,9 @@
 import unittest
 from unittest import mock
 
+import hypothesis
+from hypothesis import strategies
+
 from lavenderstile import configuration
 from lavenderstile import keys
 from lavenderstile import models
@@ -79,7 +82,14 @@
         ring = build_ring(races=['one'])
         for key in ('', 'on', 'one ', 'ONE', keys.digest_key('one')):
             self.assertIsNone(ring.find(key))
-        for digest in ('', keys.digest_key('one')[:-1]):
+        digest = keys.digest_key('one')
+        for digest in (
+            '',
+            digest[:-1],
+            digest + '0',
+            digest.upper(),
+            '\u00e9',
+        ):
             self.assertIsNone(ring.find_digest(digest))
 
     def test_digests_that_share_the_indexed_part_are_told_apart(self):
@@ -94,7 +104,9 @@
         )
         self.assertEqual(ring.find_digest(one), 'races')
         self.assertEqual(ring.find_digest(two), 'ledger')
-        self.assertIsNone(ring.find_digest(prefix + 'd' * 48))
+        self.assertIsNone(
+            ring.find_digest(prefix + 'd' * (64 - keys.INDEX_DIGITS))
+        )
         self.assertEqual(ring.ambiguous, frozenset())
 
     def test_a_key_of_two_workspaces_belongs_to_none(self):
@@ -117,7 +129,7 @@
             self.assertIsNone(ring.find('one'))
             self.assertEqual(compare.call_count, 1)
         digest = keys.digest_key('one')
-        forged = digest[: keys.INDEX_DIGITS] + '0' * 48
+        forged = digest[: keys.INDEX_DIGITS] + '0' * (64 - keys.INDEX_DIGITS)
         with mock.patch(target, autospec=True, return_value=True):
             self.assertEqual(ring.find_digest(forged), 'races')
         with mock.patch(
@@ -126,6 +138,47 @@
             self.assertIsNone(ring.find_digest(forged))
 
 
+class RefreshTest(unittest.TestCase):
+    """Guards against a changed ring that differs from a new one."""
+
+    NAMES = strategies.sampled_from(('a', 'b', 'c'))
+    # Two digests share the indexed part, so that entries have two names.
+    DIGESTS = strategies.sampled_from(
+        ('0' * 64, '0' * 63 + '1', '1' * 64, '2' * 64)
+    )
+    STATES = strategies.dictionaries(
+        NAMES, strategies.lists(DIGESTS, max_size=3)
+    )
+
+    def build(self, digests):
+        return {
+            name: models.Workspace(name, tuple(items), 1, 1)
+            for name, items in digests.items()
+        }
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(strategies.lists(STATES, min_size=1, max_size=5))
+    def test_refreshed_ring_equals_a_new_one(self, states):
+        workspaces = {}
+        ring = keys.KeyRing.from_workspaces(workspaces)
+        for digests in states:
+            previous, workspaces = workspaces, self.build(digests)
+            names = [
+                name
+                for name in previous.keys() | workspaces.keys()
+                if previous.get(name) != workspaces.get(name)
+            ]
+            ring.refresh(workspaces, names)
+            new = keys.KeyRing.from_workspaces(workspaces)
+            self.assertEqual(ring.ambiguous, new.ambiguous)
+            self.assertEqual(ring._index.keys(), new._index.keys())
+            for digest in ('0' * 64, '0' * 63 + '1', '1' * 64, '2' * 64):
+                owners = [n for n, d in digests.items() if digest in d]
+                expected = owners[0] if len(owners) == 1 else None
+                self.assertEqual(ring.find_digest(digest), expected)
+                self.assertEqual(new.find_digest(digest), expected)
+
+
 class WithdrawalTest(unittest.TestCase):
     """Guards against a withdrawn key that still works (I2)."""
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -132,3 +132,40 @@
             routes.RouteTable(configured).match(method, path),
             match_linear(configured.values(), method, path),
         )
+
+
+class RefreshTest(unittest.TestCase):
+    """Guards against a changed table that differs from a new one."""
+
+    STATES = strategies.dictionaries(
+        strategies.sampled_from(('p', 'q', 'r', 's')),
+        strategies.tuples(PATHS, strategies.sets(METHODS, max_size=1)),
+    )
+
+    def dump(self, node):
+        children = node.children or {}
+        return (
+            [route.name for route in node.routes],
+            {segment: self.dump(child) for segment, child in children.items()},
+        )
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(strategies.lists(STATES, min_size=1, max_size=5))
+    def test_refreshed_table_equals_a_new_one(self, states):
+        configured = {}
+        table = routes.RouteTable(configured)
+        for state in states:
+            previous = configured
+            configured = {
+                name: models.Route(name, path, 'orders', tuple(methods))
+                for name, (path, methods) in state.items()
+            }
+            names = [
+                name
+                for name in previous.keys() | configured.keys()
+                if previous.get(name) != configured.get(name)
+            ]
+            table.refresh(configured, names)
+            new = routes.RouteTable(configured)
+            # Equal trees also show that no empty node is left behind.
+            self.assertEqual(self.dump(table._root), self.dump(new._root))
