--- a/lavenderstile/ticket_review.py
+++ b/lavenderstile/ticket_review.py
@@ -5,6 +5,7 @@
 from . import admin_answers
 from . import configuration
 from . import keys
+from . import schemas
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,7 +37,7 @@
         for item in ticket.objects:
             problem = _apply_object(ticket, item, objects)
             if problem is None:
-                changed.append('.'.join(item))
+                changed.append(schemas.format_path(item))
             elif problem:
                 problems.append(problem)
         numbers.setdefault(ticket.number, ticket.digest.hex())
@@ -80,7 +81,7 @@
             return ''
         if _version(old) > _version(new):
             return (
-                f'{".".join(item)}: would be ignored, as ticket '
+                f'{schemas.format_path(item)}: would be ignored, as ticket '
                 f'{old.ticket} ({old.digest[:12]}) is in force'
             )
     objects[item] = new
@@ -109,7 +110,8 @@
             found = objects.get(needed)
             if found is None or found.removed:
                 yield (
-                    f'{kind}.{name}: refers to {".".join(needed)}, '
+                    f'{schemas.format_path((kind, name))}: refers to '
+                    f'{schemas.format_path(needed)}, '
                     'which is not configured'
                 )
 
