--- a/lavenderstile/admin_answers.py
+++ b/lavenderstile/admin_answers.py
@@ -50,9 +50,9 @@
     address: str
 
 
-def describe_configuration(state):
-    """Return the ConfigurationAnswer of a Configuration."""
-    objects = [
+def list_objects(state):
+    """Return an ObjectEntry for all objects in force of a Configuration."""
+    return [
         ObjectEntry(
             kind,
             name,
@@ -62,10 +62,18 @@
         )
         for (kind, name), (number, digest) in sorted(state.versions.items())
     ]
+
+
+def describe_configuration(state, ring):
+    """Return the ConfigurationAnswer of a Configuration and its KeyRing.
+
+    Keys that two workspaces share are listed with the unresolved
+    references, as they find no workspace either.
+    """
     return ConfigurationAnswer(
         state.newest,
         state.digest.hex(),
-        objects,
+        list_objects(state),
         [str(item) for item in state.conflicts],
-        [str(item) for item in state.unresolved],
+        [str(item) for item in state.unresolved] + ring.describe_ambiguous(),
     )
--- a/lavenderstile/cli_files.py
+++ b/lavenderstile/cli_files.py
@@ -75,7 +75,7 @@
         if before:
             state = configuration.Configuration()
             state.apply_all([ticket for _, ticket in before])
-            return admin_answers.describe_configuration(state).objects
+            return admin_answers.list_objects(state)
         return None
 
     def _report(self, batch, faults, reviews, problems):
--- a/lavenderstile/keys.py
+++ b/lavenderstile/keys.py
@@ -66,6 +66,13 @@
                 names.update(self._find_shared(entry))
         return frozenset(names)
 
+    def describe_ambiguous(self):
+        """Return a sentence for each workspace that shares a digest."""
+        return [
+            f'workspaces.{name} shares a key digest with another workspace'
+            for name in sorted(self.ambiguous)
+        ]
+
     def refresh(self, workspaces, names):
         """Replace the workspaces `names`, all that differ in the dict.
 
--- a/lavenderstile/ticket_review.py
+++ b/lavenderstile/ticket_review.py
@@ -134,8 +134,5 @@
     state.apply_all([*before, *(ticket for _, ticket in batch)])
     ring = keys.KeyRing.from_workspaces(state.workspaces)
     problems = [str(item) for item in state.unresolved]
-    problems.extend(
-        f'workspaces.{name} shares a key digest with another workspace'
-        for name in sorted(ring.ambiguous)
-    )
+    problems.extend(ring.describe_ambiguous())
     return [f'after all tickets: {problem}' for problem in problems]
--- a/tests/standins/admin_host.py
+++ b/tests/standins/admin_host.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lavenderstile import admin_answers
+from lavenderstile import keys
 
 
 class AdminHost:
@@ -21,7 +22,8 @@
 
     def set_configuration(self, state):
         """Answer with what is in force in a Configuration."""
-        answer = admin_answers.describe_configuration(state)
+        ring = keys.KeyRing.from_workspaces(state.workspaces)
+        answer = admin_answers.describe_configuration(state, ring)
         self.resources['GET', '/-/configuration'] = answer
 
     async def __call__(self, scope, receive, send):
--- a/tests/test_admin_answers.py
+++ b/tests/test_admin_answers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lavenderstile import admin_answers
+from lavenderstile import keys
 from tests import cli_case
 
 
@@ -18,7 +19,8 @@
             '[routes.r]\npath = "/"\nservice = "s"\n',
             'ticket = 1\n[routes.old]\nremoved = true\n',
         )
-        self.answer = admin_answers.describe_configuration(self.state)
+        ring = keys.KeyRing.from_workspaces(self.state.workspaces)
+        self.answer = admin_answers.describe_configuration(self.state, ring)
 
     def test_lists_objects_and_tombstones(self):
         found = [
@@ -45,6 +47,24 @@
         self.assertEqual(self.answer.newest, 1)
         self.assertEqual(self.answer.digest, self.state.digest.hex())
 
+    def test_lists_workspaces_that_share_a_key(self):
+        digest = 'ab' * 32
+        table = f'key_digests = ["{digest}"]\nrate = 1\nburst = 1\n'
+        state = cli_case.build_state(
+            f'ticket = 1\n[workspaces.b]\n{table}',
+            f'ticket = 2\n[workspaces.a]\n{table}',
+        )
+        ring = keys.KeyRing.from_workspaces(state.workspaces)
+        answer = admin_answers.describe_configuration(state, ring)
+        self.assertEqual(
+            answer.unresolved,
+            [
+                'workspaces.a shares a key digest with another workspace',
+                'workspaces.b shares a key digest with another workspace',
+            ],
+        )
+        self.assertNotIn(digest, str(answer))
+
     def test_survives_encoding(self):
         content = msgspec.json.encode(self.answer)
         self.assertEqual(
