--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,55 @@
+"""Tests of the expected pace of a service."""
+
+import unittest
+
+from lavenderstile import pacing
+from lavenderstile import slots
+from lavenderstile import targets
+
+from . import fleets
+
+
+class PaceTest(unittest.TestCase):
+    """Guards against wrong estimates of the wait in the queue."""
+
+    def setUp(self):
+        service = fleets.make_service(4, 3)
+        self.table = slots.SlotTable()
+        self.units = fleets.all_units(service)
+        self.table.set_units(self.units, 0.0)
+        self.states = {
+            target.address: targets.TargetState(target, True)
+            for target in service.targets
+        }
+        self.pace = pacing.Pace(self.states, self.table)
+
+    def test_follows_a_change_of_the_service_time(self):
+        for _ in range(100):
+            self.pace.record_hold(0.1)
+        for _ in range(100):
+            self.pace.record_hold(0.5)
+        self.assertAlmostEqual(self.pace.hold_s, 0.5, delta=0.01)
+
+    def test_ejected_and_cold_targets_have_less_capacity(self):
+        self.pace.record_hold(1.2)
+        self.assertAlmostEqual(self.pace.interval_s, 1.2 / 12)
+        first, second, *_ = self.states.values()
+        first.ejected = True
+        second.cold.restart('test')
+        self.assertEqual(self.pace.capacity, 7)
+        self.assertAlmostEqual(self.pace.interval_s, 1.2 / 7)
+
+    def test_is_unknown_before_the_first_release_or_without_units(self):
+        self.assertIsNone(self.pace.interval_s)
+        self.pace.record_hold(0.1)
+        self.table.set_units(frozenset(), 1.0)
+        self.assertIsNone(self.pace.interval_s)
+
+    def test_a_lack_of_slots_counts_from_its_beginning(self):
+        self.assertFalse(self.pace.is_empty(0.0))
+        self.table.set_units(frozenset(), 10.0)
+        self.assertFalse(self.pace.is_empty(10.0))
+        self.assertFalse(self.pace.is_empty(13.9))
+        self.assertTrue(self.pace.is_empty(14.0))
+        self.table.set_units(self.units, 15.0)
+        self.assertFalse(self.pace.is_empty(15.0))
