Count a second crash only for requests that ran as suspects

Cause: the register compared the time of a run's grant with the time of the first crash. Runs granted at that very time counted as later ones, so that a popular request on two killed targets was refused.

Change: the grant itself says whether it was given under suspicion.

--- a/lavenderstile/admission.py
+++ b/lavenderstile/admission.py
@@ -319,9 +319,9 @@
     def _record(self, report, holder, now):
         outcome = report.outcome
         if outcome is messages.Outcome.CRASHED:
-            granted_at = None if holder is None else holder.granted_at
+            as_suspect = holder is not None and holder.isolated
             self._crashes.record(
-                report.digest, report.unit.target, now, granted_at
+                report.digest, report.unit.target, now, as_suspect
             )
         elif outcome is messages.Outcome.ANSWERED:
             self._crashes.clear(report.digest)
--- a/lavenderstile/crashes.py
+++ b/lavenderstile/crashes.py
@@ -14,10 +14,9 @@
 class CrashRecord:
     """Targets on which runs of a digest ended in a crash."""
 
-    __slots__ = ('count', 'first_at', 'last_at', 'targets')
+    __slots__ = ('count', 'last_at', 'targets')
 
     def __init__(self, target, now):
-        self.first_at = now
         self.last_at = now
         self.targets = [target]
         self.count = 1
@@ -51,17 +50,17 @@
     def __len__(self):
         return len(self._records)
 
-    def record(self, digest, target, now, granted_at=None):
+    def record(self, digest, target, now, as_suspect=True):
         """Record a crash; return whether the digest is blocked now.
 
-        `granted_at` is the time of the run's grant; None means that the
-        run began after all recorded crashes.
+        `as_suspect` says whether the run began under suspicion; if not,
+        a crash only makes a digest suspect.
         """
         known = self._find(digest, now)
         if known is None:
             self._add(digest, CrashRecord(target, now))
             return False
-        if granted_at is None or granted_at >= known.first_at:
+        if as_suspect:
             known.count += 1
             known.last_at = now
             if target not in known.targets:
@@ -97,7 +96,6 @@
         if known is None:
             known = CrashRecord(note.targets[0], seen_at)
             self._add(note.digest, known)
-        known.first_at = min(known.first_at, seen_at)
         known.last_at = max(known.last_at, seen_at)
         for target in note.targets:
             if target not in known.targets:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -31,10 +31,10 @@
     def test_runs_from_before_the_suspicion_do_not_count_again(self):
         # A rack fails with a popular request on four of its targets.
         for number in range(4):
-            self.register.record('popular', f't{number}', 10.0, 9.95)
+            self.register.record('popular', f't{number}', 10.0, False)
         self.assertTrue(self.register.is_suspect('popular', 10.0))
         self.assertFalse(self.register.is_blocked('popular', 10.0))
-        self.register.record('popular', 't9', 11.0, 10.5)
+        self.register.record('popular', 't9', 11.0, True)
         self.assertTrue(self.register.is_blocked('popular', 11.0))
 
     def test_an_answer_clears_a_suspect_but_not_a_blocked_digest(self):
