--- a/lavenderstile/placement.py
+++ b/lavenderstile/placement.py
@@ -6,7 +6,7 @@
 class Placement:
     """Chooses among the targets of a service.
 
-    `avoided(host, target)` says whether a path is known to be bad, and
+    `avoided(host, target, now)` says whether a path is known to be bad, and
     `table` is the owner's slot table.
     """
 
@@ -28,9 +28,18 @@
         trial = self._choose_trial(request, now)
         if trial is not None:
             return trial
-        return self._choose_regular(self._allowed(request), request, now)
+        return self._choose_regular(self._allowed(request, now), request, now)
 
-    def _allowed(self, request):
+    def has_room(self, now):
+        """Return whether any target may get one more request."""
+        return any(
+            state.open
+            and (state.trial or not state.ejected)
+            and state.usable_units(self._table, now)
+            for state in self._states.values()
+        )
+
+    def _allowed(self, request, now):
         """Return the targets that may run the request when they are free.
 
         A failed target or a bad path is used again only if the service
@@ -49,7 +58,7 @@
         clean = [
             state
             for state in other
-            if not self._avoided(request.host, state.address)
+            if not self._avoided(request.host, state.address, now)
         ]
         return clean or other or regular
 
@@ -62,7 +71,7 @@
             if self._table.running(state.address):
                 continue
             units = state.usable_units(self._table, now)
-            if units and not self._avoided(request.host, state.address):
+            if units and not self._avoided(request.host, state.address, now):
                 return state, units[0]
         return None
 
@@ -78,8 +87,8 @@
                 continue
             key = (
                 state.target.domain in request.excluded_domains,
-                state.draining,
-                -len(units),
+                state.last_resort or state.draining,
+                self._share_in_use(state, units),
                 shares[state.target.domain],
                 state.last_grant,
             )
@@ -87,6 +96,16 @@
                 best, best_key = (state, units[0]), key
         return best
 
+    def _share_in_use(self, state, free_units):
+        """Return the share of a target's usable units that are in use.
+
+        Comparing counts of free units instead would never choose a cold
+        target, which has few, while others are idle, so that it would
+        never become warm.
+        """
+        running = self._table.running(state.address)
+        return running / (running + len(free_units))
+
     def _choose_isolated(self, request, suspect_targets, now):
         """Choose a target for a request that may crash it.
 
@@ -96,7 +115,7 @@
         for holder in self._table.holders.values():
             if holder.digest == request.digest:
                 return None
-        allowed = self._allowed(request)
+        allowed = self._allowed(request, now)
         fresh = [s for s in allowed if s.address not in suspect_targets]
         best = None
         for state in fresh or allowed:
@@ -109,18 +128,16 @@
         return None if best is None else best[1:]
 
     def _is_isolated(self, state):
-        return any(
-            holder.isolated for holder in self._table.holders_on(state.address)
-        )
+        return self._table.isolated_on(state.address)
 
     def _domain_shares(self):
         """Return the share of units in use by failure domain."""
-        held = collections.Counter()
-        used = collections.Counter()
-        for state in self._states.values():
+        held = collections.defaultdict(int)
+        used = collections.defaultdict(int)
+        for address, state in self._states.items():
             domain = state.target.domain
-            held[domain] += len(self._table.units(state.address))
-            used[domain] += self._table.running(state.address)
+            held[domain] += len(self._table.units(address))
+            used[domain] += self._table.running(address)
         return {
             domain: used[domain] / count if count else 1.0
             for domain, count in held.items()
--- a/lavenderstile/slots.py
+++ b/lavenderstile/slots.py
@@ -5,6 +5,9 @@
 # A grant may be missing from a report that was sent before it arrived.
 GRANT_REPORT_S = 3.0
 MISSING_REPORTS = 2
+# A unit that comes back may be in use by a grant of another owner, which
+# the hosts report within one exchange.
+SETTLE_S = 1.0
 # A host that is gone has closed its connections after this time.
 HOST_LOST_S = 3.0
 # Late reports may list a grant, and late releases name it again, for as
@@ -54,15 +57,28 @@
         '_by_target',
         '_by_unit',
         '_ended',
+        '_free',
         '_holders',
+        '_isolated',
         '_lost',
         '_reported',
+        '_settling',
+        '_trusted_until',
         '_units',
+        '_units_given',
     )
 
     def __init__(self):
         self._units = {}
+        self._units_given = frozenset()
+        # When new units may be granted, by unit.
+        self._settling = {}
+        self._trusted_until = 0.0
+        # Free units by target, until something changes there.
+        self._free = {}
         self._holders = {}
+        # Targets by the isolated grant that runs there.
+        self._isolated = {}
         self._by_unit = collections.defaultdict(set)
         self._by_target = collections.defaultdict(set)
         self._by_host = collections.defaultdict(set)
@@ -75,8 +91,21 @@
         """All grants in use, by id."""
         return self._holders
 
-    def set_units(self, units):
-        """Replace the set of usable units."""
+    def set_units(self, units, now):
+        """Replace the set of usable units; return whether it changed.
+
+        A new unit is granted only after the hosts could report its use.
+        """
+        if units == self._units_given:
+            return False
+        usable_at = now if now < self._trusted_until else now + SETTLE_S
+        settling = {
+            unit: self._settling.get(unit, usable_at)
+            for unit in units
+            if unit in self._settling or unit not in self._units_given
+        }
+        self._settling = settling
+        self._units_given = units
         by_target = collections.defaultdict(list)
         for unit in units:
             by_target[unit.target].append(unit)
@@ -84,6 +113,37 @@
             target: sorted(own, key=lambda unit: unit.index)
             for target, own in by_target.items()
         }
+        self._free.clear()
+        return True
+
+    def settle(self, now):
+        """Count the units that have waited long enough as usable.
+
+        Return whether there are any.
+        """
+        if not self._settling or self.next_settled() > now:
+            return False
+        self._settling = {
+            unit: at for unit, at in self._settling.items() if at > now
+        }
+        self._free.clear()
+        return True
+
+    def next_settled(self):
+        """Return when the next unit becomes usable, or None."""
+        return min(self._settling.values(), default=None)
+
+    def restart_settling(self, now):
+        """Let all units wait again, after a time without any news."""
+        self._trusted_until = 0.0
+        self._settling = dict.fromkeys(self._units_given, now + SETTLE_S)
+        self._free.clear()
+
+    def trust_units(self, now):
+        """Use all units at once, as all running grants are known."""
+        self._trusted_until = now + SETTLE_S
+        self._settling.clear()
+        self._free.clear()
 
     def units(self, target):
         """Return the usable units of a target, by index."""
@@ -91,9 +151,14 @@
 
     def free_units(self, target):
         """Return the usable units of a target that nobody uses."""
-        return [
-            unit for unit in self.units(target) if unit not in self._by_unit
-        ]
+        free = self._free.get(target)
+        if free is None:
+            free = self._free[target] = [
+                unit
+                for unit in self.units(target)
+                if unit not in self._by_unit and unit not in self._settling
+            ]
+        return free
 
     def running(self, target):
         """Return the number of grants in use on a target."""
@@ -104,13 +169,20 @@
         ids = self._by_target.get(target, ())
         return [self._holders[grant_id] for grant_id in ids]
 
+    def isolated_on(self, target):
+        """Return whether a grant on the target must stay the only one."""
+        return target in self._isolated
+
     def take(self, holder):
         """Record a grant as the user of its unit."""
         self._lost.pop(holder.host, None)
         self._holders[holder.grant_id] = holder
+        self._free.pop(holder.unit.target, None)
         self._by_unit[holder.unit].add(holder.grant_id)
         self._by_target[holder.unit.target].add(holder.grant_id)
         self._by_host[holder.host].add(holder.grant_id)
+        if holder.isolated:
+            self._isolated[holder.unit.target] = holder.grant_id
 
     def release(self, grant_id, now):
         """End a grant; return (holder or None, whether it is a repeat)."""
@@ -145,6 +217,12 @@
             seen_at = max(seen_at, self._holders[grant_id].granted_at)
         self._lost.setdefault(host, seen_at + HOST_LOST_S)
 
+    def renew_reports(self, now):
+        """Count all hosts as heard now, after a pause of this process."""
+        for host in self._by_host:
+            self._reported[host] = now
+        self._lost = {host: now + HOST_LOST_S for host in self._lost}
+
     def end_lost(self, now):
         """End the grants of lost hosts that are due; return the freed."""
         due = [host for host, end in self._lost.items() if end <= now]
@@ -175,6 +253,9 @@
         holder = self._holders.pop(grant_id, None)
         if holder is None:
             return None
+        self._free.pop(holder.unit.target, None)
+        if holder.isolated:
+            self._isolated.pop(holder.unit.target, None)
         for index, key in (
             (self._by_unit, holder.unit),
             (self._by_target, holder.unit.target),
