--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -15,7 +15,7 @@
 
 def make_lender(units=frozenset(), start=0.0):
     lender = rights.Lender('a', start)
-    lender.set_rights({'w': SHARE}, units, start)
+    lender.set_rights({'w': SHARE}, units, start, in_force_s=60.0)
     return lender
 
 
@@ -81,6 +81,50 @@
         self.assertEqual(len(frozenset().union(*homes)), 36)
 
 
+class OwnersTest(unittest.TestCase):
+    """Guards against owners that move without need, or pools too small."""
+
+    MEMBERS = SharesTest.ADDRESSES
+
+    def make_workspace(self, burst):
+        return models.Workspace('w', (), rate=100.0, burst=burst)
+
+    def test_number_of_owners_follows_the_burst(self):
+        for burst, count in ((0, 1), (23, 1), (24, 2), (48, 4), (500, 4)):
+            owners = rights.list_owners(
+                self.make_workspace(burst), self.MEMBERS
+            )
+            self.assertEqual(len(owners), count)
+
+    def test_small_fleet_has_fewer_owners(self):
+        workspace = self.make_workspace(500)
+        self.assertEqual(rights.list_owners(workspace, ['a']), ['a'])
+        self.assertIsNone(rights.find_owner(workspace, 'a', []))
+
+    def test_each_owner_gets_lenders(self):
+        workspace = self.make_workspace(500)
+        found = {
+            rights.find_owner(workspace, address, self.MEMBERS)
+            for address in self.MEMBERS
+        }
+        owners = rights.list_owners(workspace, self.MEMBERS)
+        self.assertEqual(found, set(owners))
+
+    def test_losing_an_owner_moves_only_its_lenders(self):
+        workspace = self.make_workspace(500)
+        lost = rights.list_owners(workspace, self.MEMBERS)[1]
+        rest = [member for member in self.MEMBERS if member != lost]
+        new = (
+            set(rights.list_owners(workspace, rest))
+            - set(rights.list_owners(workspace, self.MEMBERS))
+        ).pop()
+        for address in rest:
+            before = rights.find_owner(workspace, address, self.MEMBERS)
+            after = rights.find_owner(workspace, address, rest)
+            if before != lost:
+                self.assertIn(after, (before, new))
+
+
 class QuarantineTest(unittest.TestCase):
     """Guards against a restarted lender that lends what is still lent."""
 
@@ -237,10 +281,16 @@
         # to it is the older version. It arrives after the newer one, which
         # took the unit away, was acknowledged and has ended.
         self.link.exchange(FULL)
-        late = self.link.ask(FULL + 2)
-        self.link.owns = False
-        grant = self.link.ask(FULL + 2)
+        request = self.link.borrower.make_request('a')
+        owned = frozenset({'w'}), frozenset({'orders'})
+        smaller = {'w': (MICRO, MICRO)}
+        self.lender.set_rights(smaller, frozenset({UNIT}), FULL + 2)
+        late = self.lender.grant(request, *owned, FULL + 2)
+        self.assertIn(UNIT, late.items)
+        nothing = frozenset(), frozenset()
+        grant = self.lender.grant(request, *nothing, FULL + 2)
         self.link.accept(grant, FULL + 1, FULL + 2)
+        self.link.owns = False
         self.link.ask(FULL + 2.5)
         successor = Link(self.lender, 'c')
         successor.exchange(FULL + 4.5)
@@ -310,7 +360,7 @@
         other = messages.SlotUnit('orders', '10.0.0.1:80', 1)
         at = FULL + 1 + rights.GROWTH_DELAY_S
         self.lender.set_rights(larger, frozenset({UNIT, other}), FULL + 1)
-        for second in range(1, 6):
+        for second in range(1, 9):
             self.link.exchange(FULL + second)
         self.link.exchange(at - 0.1)
         self.assertEqual(self.link.take_all(at - 0.1), 6)
@@ -322,7 +372,7 @@
     def test_repeated_settings_do_not_postpone_growth(self):
         larger = {'w': (4 * MICRO, 12 * MICRO)}
         at = FULL + 1 + rights.GROWTH_DELAY_S
-        for second in range(1, 6):
+        for second in range(1, 9):
             now = FULL + second
             self.lender.set_rights(larger, frozenset({UNIT}), now)
             self.link.exchange(now)
