Add a seeded measuring program with baselines

It drives the decision objects under a virtual clock with fake targets and fake messages between hosts. The baselines are round robin with ejection after five errors per host, a FIFO queue and a fixed share of each rate.

--- /dev/null
+++ b/tests/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measurement of the decision objects under a virtual clock."""
--- /dev/null
+++ b/tests/measure/__main__.py
@@ -0,0 +1,151 @@
+"""Measures the product and its baselines; prints a table or JSON."""
+
+import argparse
+import concurrent.futures
+import functools
+import json
+
+from . import policies
+from . import rate_run
+from . import service_scenarios as service
+from . import sizes
+from . import targets
+
+FULL = {
+    'trials': 30,
+    'innocent_s': 300.0,
+    'overload_s': 40.0,
+    'cold_s': 90.0,
+    'rates_warm_s': 12.0,
+    'rates_s': 30.0,
+}
+QUICK = {
+    'trials': 1,
+    'innocent_s': 70.0,
+    'overload_s': 14.0,
+    'cold_s': 30.0,
+    'rates_warm_s': 10.0,
+    'rates_s': 5.0,
+}
+PRODUCT = policies.OwnerPolicy
+ROUND_ROBIN = policies.RoundRobinPolicy
+FIFO = functools.partial(policies.OwnerPolicy, fifo=True)
+OWNER_OR_ROUND_ROBIN = {'product': PRODUCT, 'round robin': ROUND_ROBIN}
+RATES = {'product': False, 'fixed share': True}
+
+# Scenarios: function, variants with their argument, further arguments.
+SCENARIOS = {
+    **{
+        f'gray/{kind}': (service.detect, OWNER_OR_ROUND_ROBIN, (kind,))
+        for kind in targets.GRAY
+    },
+    **{
+        f'innocent/{kind}': (
+            service.eject_falsely,
+            OWNER_OR_ROUND_ROBIN,
+            (kind,),
+        )
+        for kind in ('healthy', 'slow service', 'bad link')
+    },
+    'fairness': (
+        service.serve_fairly,
+        {**OWNER_OR_ROUND_ROBIN, 'fifo': FIFO},
+        (),
+    ),
+    'domain': (service.lose_domain, OWNER_OR_ROUND_ROBIN, ()),
+    'cold': (service.fall_cold, OWNER_OR_ROUND_ROBIN, ()),
+    **{
+        f'rates/{event}': (rate_run.run_rates, RATES, (event,))
+        for event in ('rest', 'restarts', 'cut')
+    },
+}
+
+
+def measure(deployment, scenario, variant, seed, quick):
+    """Return the figures of one variant in one scenario."""
+    function, variants, arguments = SCENARIOS[scenario]
+    return function(
+        sizes.DEPLOYMENTS[deployment],
+        f'{seed}/{deployment}/{scenario}',
+        QUICK if quick else FULL,
+        variants[variant],
+        *arguments,
+    )
+
+
+def measure_all(deployments, scenarios, seed, quick, jobs=1):
+    """Return deployment -> scenario -> variant -> figures."""
+    tasks = [
+        (deployment, scenario, variant, seed, quick)
+        for deployment in deployments
+        for scenario in scenarios
+        for variant in SCENARIOS[scenario][1]
+    ]
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        results = list(pool.map(measure, *zip(*tasks, strict=True)))
+    tree = {}
+    for (deployment, scenario, variant, *_), result in zip(
+        tasks, results, strict=True
+    ):
+        scenarios = tree.setdefault(deployment, {})
+        scenarios.setdefault(scenario, {})[variant] = result
+    return tree
+
+
+def format_table(tree):
+    """Return the figures as a Markdown table for each deployment."""
+    lines = []
+    for deployment, scenarios in tree.items():
+        lines += [f'## {deployment}', '']
+        lines += [
+            '| scenario | figure | variant | value |',
+            '|---|---|---|---|',
+        ]
+        lines += [
+            f'| {scenario} | {figure} | {variant} | {results[figure]} |'
+            for scenario, variants in scenarios.items()
+            for figure in next(iter(variants.values()))
+            for variant, results in variants.items()
+        ]
+        lines.append('')
+    return '\n'.join(lines)
+
+
+def main():
+    """Run the program."""
+    parser = argparse.ArgumentParser(prog='tests.measure', description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--scenario',
+        action='append',
+        help='a scenario, or the part before its slash; may be repeated',
+    )
+    parser.add_argument('--deployment', choices=sizes.DEPLOYMENTS)
+    parser.add_argument('--json', action='store_true')
+    parser.add_argument('--quick', action='store_true')
+    parser.add_argument('--jobs', type=int, default=1)
+    options = parser.parse_args()
+    wanted = options.scenario or list(SCENARIOS)
+    scenarios = [
+        name
+        for name in SCENARIOS
+        if name in wanted or name.partition('/')[0] in wanted
+    ]
+    if not scenarios:
+        parser.error(f'unknown scenario; choose of {", ".join(SCENARIOS)}')
+    deployments = list(sizes.DEPLOYMENTS)
+    if options.deployment:
+        deployments = [options.deployment]
+    tree = measure_all(
+        deployments, scenarios, options.seed, options.quick, options.jobs
+    )
+    if options.json:
+        heading = {'seed': options.seed, 'quick': options.quick}
+        print(json.dumps({**heading, 'deployments': tree}, indent=1))
+    else:
+        print(f'seed {options.seed}, {"quick" if options.quick else "full"}\n')
+        print(format_table(tree))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/measure/figures.py
@@ -0,0 +1,51 @@
+"""Figures derived from the events of a run."""
+
+from hdrh import histogram
+
+LONGEST_MS = 600_000
+DIGITS = 3
+
+
+class Durations:
+    """Histogram of durations, recorded in seconds."""
+
+    def __init__(self):
+        self._histogram = histogram.HdrHistogram(1, LONGEST_MS * 10, DIGITS)
+
+    def record(self, seconds):
+        """Add a duration; the resolution is 0.1 ms."""
+        self._histogram.record_value(max(1, round(seconds * 10_000)))
+
+    def percentile(self, percent):
+        """Return a percentile in seconds, or None without records."""
+        if not self._histogram.get_total_count():
+            return None
+        value = self._histogram.get_value_at_percentile(percent)
+        return round(value / 10_000, 4)
+
+
+def find_overshoot(times, rate, burst):
+    """Return by how many requests the worst window exceeds the limit.
+
+    A window of t seconds may hold rate * t + burst requests. With the
+    times in order, the worst window that ends at each request starts at
+    the request where `index - rate * time` was least.
+    """
+    worst = 0.0
+    least = float('inf')
+    for index, time in enumerate(times):
+        least = min(least, index - rate * time)
+        worst = max(worst, index + 1 - rate * time - least - burst)
+    # Less than a thousandth of a request is rounding of float times.
+    return worst if worst > 0.001 else 0.0
+
+
+def share_fairly(demands, capacity):
+    """Return the max-min fair shares of a capacity."""
+    shares = {}
+    left = capacity
+    for count, name in enumerate(sorted(demands, key=demands.get)):
+        equal = left / (len(demands) - count)
+        shares[name] = min(demands[name], equal)
+        left -= shares[name]
+    return shares
--- /dev/null
+++ b/tests/measure/policies.py
@@ -0,0 +1,165 @@
+"""The product and its baselines behind one interface."""
+
+import collections
+import dataclasses
+
+from lavenderstile import admission
+from lavenderstile import messages
+from lavenderstile import queueing
+from lavenderstile import target_events
+
+TICK_S = 0.1
+EVALUATE_S = 0.2
+CONSECUTIVE_ERRORS = 5
+ROUND_ROBIN_EJECTION_S = 30.0
+ONE_LANE = 'all'
+
+FAILED = frozenset(messages.Outcome) - {
+    messages.Outcome.ANSWERED,
+    messages.Outcome.SHED,
+}
+
+
+class FifoQueue(queueing.FairQueue):
+    """Baseline: the fair queue with one lane for all workspaces."""
+
+    def push(self, request, now, pace_s):
+        request = dataclasses.replace(request, workspace=ONE_LANE)
+        return super().push(request, now, pace_s)
+
+
+class OwnerPolicy:
+    """The product: the service's owner decides, one message delay away."""
+
+    def __init__(self, engine, deployment, service, weights, fifo=False):
+        self._engine = engine
+        self._service = service
+        self.delay_s = deployment.delay_s
+        self._waiting = {}
+        self.ejections = []
+        self._ejected = set()
+        self._admission = admission.ServiceAdmission(
+            service.name, engine.now, owner_id='measured'
+        )
+        if fifo:
+            self._admission._queue = FifoQueue()
+        self.configure(frozenset())
+        units = {
+            messages.SlotUnit(service.name, target.address, index)
+            for target in service.targets
+            for index in range(target.slots)
+        }
+        self.set_units(units)
+        engine.every(TICK_S, self._poll)
+        engine.every(EVALUATE_S, self._evaluate)
+
+    def configure(self, domains_out):
+        """Put failure domains in or out of service."""
+        now = self._engine.now
+        self._admission.configure(self._service, domains_out, now)
+
+    def set_units(self, units):
+        """Set the units that are lent to the owner."""
+        self._admission.set_units(units, self._engine.now)
+
+    def ejected_part(self, target):
+        """Return the part of the load that avoids the target."""
+        return float(target in self._ejected)
+
+    def ask(self, request, decide):
+        """Ask for a slot; `decide` gets a grant or a refusal."""
+        self._engine.after(self.delay_s, self._admit, request, decide)
+
+    def _admit(self, request, decide):
+        result = self._admission.request(request, self._engine.now)
+        if isinstance(result, messages.Queued):
+            self._waiting[request.request_id] = decide
+        else:
+            self._engine.after(self.delay_s, decide, result)
+
+    def release(self, report):
+        """Send the outcome of an attempt."""
+        self._engine.after(self.delay_s, self._release, report)
+
+    def _release(self, report):
+        self._admission.release(report, self._engine.now)
+        self._poll()
+
+    def _poll(self):
+        for decision in self._admission.poll(self._engine.now):
+            decide = self._waiting.pop(decision.request_id)
+            self._engine.after(self.delay_s, decide, decision.outcome)
+
+    def _evaluate(self):
+        for event in self._admission.evaluate(self._engine.now):
+            match event.kind:
+                case target_events.EventKind.EJECTED:
+                    self._ejected.add(event.target)
+                    self.ejections.append((self._engine.now, event))
+                case target_events.EventKind.REINSTATED:
+                    self._ejected.discard(event.target)
+        self._poll()
+
+
+class RoundRobinPolicy:
+    """Baseline: each host takes turns and ejects after 5 errors in a row."""
+
+    def __init__(self, engine, deployment, service, weights):
+        self._engine = engine
+        self._weights = dict(zip(deployment.host_names, weights, strict=True))
+        self._service = service
+        self._turns = collections.Counter()
+        self._row = collections.Counter()
+        self._out_until = {}
+        self._domains_out = frozenset()
+        self.delay_s = 0.0
+        self.ejections = []
+
+    def configure(self, domains_out):
+        """Put failure domains in or out of service."""
+        self._domains_out = domains_out
+
+    def set_units(self, units):
+        """Slot units do not exist here."""
+
+    def ejected_part(self, target):
+        """Return the part of the load that avoids the target."""
+        out = sum(
+            weight
+            for host, weight in self._weights.items()
+            if self._is_out(host, target)
+        )
+        return out / sum(self._weights.values())
+
+    def ask(self, request, decide):
+        """Choose the host's next target that it has not ejected."""
+        targets = [
+            target
+            for target in self._service.targets
+            if target.domain not in self._domains_out
+        ]
+        kept = [
+            target
+            for target in targets
+            if not self._is_out(request.host, target.address)
+        ]
+        usable = kept or targets
+        self._turns[request.host] += 1
+        target = usable[self._turns[request.host] % len(usable)]
+        unit = messages.SlotUnit(self._service.name, target.address, 0)
+        grant = messages.Grant('', request.request_id, unit, target.domain)
+        self._engine.after(0.0, decide, grant)
+
+    def release(self, report):
+        """Count the errors in a row of a host's path to a target."""
+        path = (report.host, report.unit.target)
+        failed = report.outcome in FAILED
+        self._row[path] = self._row[path] + 1 if failed else 0
+        if self._row[path] >= CONSECUTIVE_ERRORS:
+            self._row[path] = 0
+            now = self._engine.now
+            self._out_until[path] = now + ROUND_ROBIN_EJECTION_S
+            self.ejections.append((now, path))
+
+    def _is_out(self, host, target):
+        return self._out_until.get((host, target), 0.0) > self._engine.now
--- /dev/null
+++ b/tests/measure/service_run.py
@@ -0,0 +1,161 @@
+"""Load on one service: callers, entry hosts, a policy and fake targets."""
+
+import collections
+import dataclasses
+
+from lavenderstile import messages
+from lavenderstile import retries
+from lavenderstile import verdicts
+
+from . import engine as engine_module
+from . import figures
+from . import sizes
+from . import targets
+
+DEADLINE_S = 5.0
+IDEMPOTENT_PART = 0.8
+Outcome = messages.Outcome
+
+
+class ServiceRun:
+    """One service under Poisson load.
+
+    `demands` maps workspaces to requests a second; `behave(target, host)`
+    returns a target's present behaviour.
+    """
+
+    def __init__(
+        self, seed, deployment, service, policy, demands=None, behave=None
+    ):
+        self.engine = engine_module.Engine(seed)
+        self.service = service
+        self.deployment = deployment
+        self.hosts = list(deployment.host_names)
+        self.weights = deployment.host_weights
+        self.engine.rng.shuffle(self.weights)
+        self.policy = policy(
+            self.engine, deployment, service, list(self.weights)
+        )
+        behave = behave or (lambda target, host: targets.HEALTHY)
+        self.targets = {
+            target.address: targets.FakeTarget(
+                self.engine, target, deployment.delay_s, behave
+            )
+            for target in service.targets
+        }
+        self.sent = collections.Counter()
+        # Times of good answers by workspace.
+        self.served = collections.defaultdict(list)
+        # (start, end) of the requests; the end is None if it failed.
+        self.requests = []
+        self._number = 0
+        for workspace, rate in (demands or spread_load(service)).items():
+            self._plan_arrival(workspace, rate)
+
+    def _plan_arrival(self, workspace, rate):
+        delay_s = self.engine.rng.expovariate(rate)
+        self.engine.after(delay_s, self._arrive, workspace, rate)
+
+    def _arrive(self, workspace, rate):
+        self._plan_arrival(workspace, rate)
+        self._number += 1
+        rng = self.engine.rng
+        request = messages.AdmitRequest(
+            f'r{self._number}',
+            sizes.choose_host(rng, self.hosts, self.weights),
+            self.service.name,
+            workspace,
+            self.engine.now + DEADLINE_S,
+            f'd{self._number}',
+            rng.random() < IDEMPOTENT_PART,
+        )
+        self.sent[workspace] += 1
+        self._ask(request, self.engine.elapsed)
+
+    def _ask(self, request, started):
+        def decide(result):
+            if isinstance(result, messages.Grant):
+                self._start(request, started, result)
+            else:
+                self.requests.append((started, None))
+
+        self.policy.ask(request, decide)
+
+    def _start(self, request, started, grant):
+        now = self.engine.now
+        delay_s = self.deployment.delay_s
+
+        def done(outcome, cold):
+            latency_s = self.engine.now - now
+            report = messages.ReleaseReport(
+                grant.grant_id,
+                request.host,
+                grant.unit,
+                request.digest,
+                outcome,
+                latency_s,
+                cold=cold,
+            )
+            self.policy.release(report)
+            self._end(request, started, grant, outcome)
+
+        target = self.targets[grant.unit.target]
+        granted_at = now - self.policy.delay_s
+        self.engine.after(
+            delay_s,
+            target.start,
+            request.host,
+            granted_at,
+            request.deadline,
+            lambda *result: self.engine.after(delay_s, done, *result),
+        )
+
+    def _end(self, request, started, grant, outcome):
+        if outcome is Outcome.ANSWERED:
+            self.served[request.workspace].append(self.engine.elapsed)
+            self.requests.append((started, self.engine.elapsed))
+            return
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        if outcome is Outcome.SHED:
+            verdict = verdicts.Verdict.NOT_RUN
+        decision = retries.decide_retry(
+            outcome,
+            request.idempotent,
+            request.attempt,
+            request.deadline - self.engine.now,
+            verdict,
+            target=grant.unit.target,
+            domain=grant.domain,
+            excluded_targets=request.excluded_targets,
+            excluded_domains=request.excluded_domains,
+        )
+        if not isinstance(decision, retries.Retry):
+            self.requests.append((started, None))
+            return
+        again = dataclasses.replace(
+            request,
+            request_id=f'{request.request_id}+',
+            attempt=decision.attempt,
+            excluded_targets=decision.excluded_targets,
+            excluded_domains=decision.excluded_domains,
+        )
+        self._ask(again, started)
+
+    def count_failed(self, since, until):
+        """Return (requests, failed) among those that started in a time."""
+        ends = [e for s, e in self.requests if since <= s < until]
+        return len(ends), sum(end is None for end in ends)
+
+    def latency(self, since, until):
+        """Return the latencies of the good answers in a time."""
+        latencies = figures.Durations()
+        for start, end in self.requests:
+            if end is not None and since <= start < until:
+                latencies.record(end - start)
+        return latencies
+
+
+def spread_load(service, rate_per_target=sizes.RATE_PER_TARGET):
+    """Return each workspace's demand at a rate per target."""
+    total = rate_per_target * len(service.targets)
+    return {name: total * part for name, part in sizes.SHARES.items()}
--- /dev/null
+++ b/tests/test_measure.py
@@ -0,0 +1,106 @@
+"""Tests of the measuring program with its quick variant."""
+
+import json
+import os
+import subprocess
+import sys
+import unittest
+
+from .measure import __main__ as program
+from .measure import figures
+
+DEPLOYMENT = 'federacion'
+
+
+def measure(scenario, variant, seed=1):
+    return program.measure(DEPLOYMENT, scenario, variant, seed, True)
+
+
+class FiguresTest(unittest.TestCase):
+    def test_overshoot_of_a_window_inside_the_run(self):
+        """Guards against looking only at windows from the start."""
+        times = [0.0, 10.0, 10.0, 10.0, 10.5, 20.0]
+        # 4 requests in 0.5 s at 2 per second and a burst of 2.
+        self.assertEqual(1.0, figures.find_overshoot(times, 2.0, 2.0))
+
+    def test_no_overshoot_at_the_limit(self):
+        """Guards against counting the burst itself as overshoot."""
+        self.assertEqual(0.0, figures.find_overshoot([0, 0, 1, 2], 1.0, 2.0))
+
+    def test_fair_shares_give_the_rest_to_the_large(self):
+        """Guards against a fair share above the demand."""
+        shares = figures.share_fairly({'a': 1.0, 'b': 8.0, 'c': 9.0}, 11.0)
+        self.assertEqual({'a': 1.0, 'b': 5.0, 'c': 5.0}, shares)
+
+
+class SameSeedTest(unittest.TestCase):
+    def test_same_figures_in_another_process(self):
+        """Guards against results that depend on hash seeds or on time."""
+        scenarios = ('rates/rest', 'cold')
+        arguments = ['--quick', '--json', '--deployment', DEPLOYMENT]
+        for scenario in scenarios:
+            arguments += ['--scenario', scenario]
+        output = subprocess.run(
+            [sys.executable, '-m', 'tests.measure', *arguments],
+            check=True,
+            capture_output=True,
+            env={**os.environ, 'PYTHONHASHSEED': '7'},
+        ).stdout
+        there = json.loads(output)['deployments'][DEPLOYMENT]
+        for scenario in scenarios:
+            for variant in program.SCENARIOS[scenario][1]:
+                here = measure(scenario, variant)
+                self.assertEqual(here, there[scenario][variant])
+
+    def test_other_seed_gives_other_figures(self):
+        """Guards against a seed that is not used."""
+        self.assertNotEqual(
+            measure('rates/rest', 'fixed share', 1),
+            measure('rates/rest', 'fixed share', 2),
+        )
+
+
+class GoalsTest(unittest.TestCase):
+    def check_overshoot(self, event):
+        result = measure(f'rates/{event}', 'product')
+        self.assertEqual(0, result['overshoot requests'])
+
+    def test_no_overshoot_at_rest(self):
+        """Guards against rights that are used twice."""
+        self.check_overshoot('rest')
+
+    def test_no_overshoot_while_hosts_restart(self):
+        """Guards against a burst out of empty memory."""
+        self.check_overshoot('restarts')
+
+    def test_no_overshoot_while_hosts_are_cut_off(self):
+        """Guards against two owners that use the same rights."""
+        self.check_overshoot('cut')
+
+    def test_no_false_ejection_under_a_slow_service(self):
+        """Guards against comparing a target with its own past."""
+        result = measure('innocent/slow service', 'product')
+        self.assertEqual(0, result['false ejections'])
+
+    def test_no_overrun_of_cold_targets(self):
+        """Guards against a ramp that is ahead of the target."""
+        result = measure('cold', 'product')
+        self.assertEqual(0, result['overruns of cold targets'])
+
+
+class BaselineTest(unittest.TestCase):
+    def test_round_robin_overruns_cold_targets(self):
+        """Guards against a fake target that cannot be overrun."""
+        result = measure('cold', 'round robin')
+        self.assertGreater(result['overruns of cold targets'], 0)
+
+    def test_round_robin_ejects_over_a_bad_link(self):
+        """Guards against a scenario without a fault to react to."""
+        result = measure('innocent/bad link', 'round robin')
+        self.assertGreater(result['false ejections'], 0)
+
+    def test_fixed_share_refuses_more(self):
+        """Guards against a balancer that spreads the load evenly."""
+        key = 'false refusals %'
+        own = measure('rates/rest', 'product')[key]
+        self.assertGreater(measure('rates/rest', 'fixed share')[key], own)
