Detect silent connections early and bytes left over from an answer

Cause: with little traffic no newer connection answers while a request waits on a silent one, so each host reported a timeout against a healthy target. Bytes left over in the library's buffer became the next request's answer if the target never echoes request ids.

Change: a reused connection without an answer causes one GET /health on a new connection, bounded per target and by the connection limit. Waits in tests have an overall limit.

--- /dev/null
+++ b/lavenderstile/connections.py
@@ -0,0 +1,166 @@
+"""One connection to a target.
+
+Each connection is an httpx transport that holds at most one connection, so
+that its age and its earlier uses are known and it can be closed alone.
+"""
+
+import asyncio
+import contextlib
+import select
+import socket
+import ssl
+import struct
+
+import httpx
+
+# Connections are retired at this age, because an open connection can go
+# silent for ever while new ones work.
+MAX_AGE_S = 60.0
+
+# Idle connections are closed before common servers close them (after 5 s),
+# because a request that meets such a close cannot be proven not to have run.
+MAX_IDLE_S = 4.0
+
+# Limits the bytes that a read can deliver at once, and so the memory that a
+# response body takes; the kernel doubles this value.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+
+# Longest answer that is read whole.
+SMALL_ANSWER_BYTES = 16 * 1024
+
+# Size of the start of Linux's `struct tcp_info` up to and including
+# `tcpi_bytes_received`, and the place of that field.
+_TCP_INFO_BYTES = 136
+_BYTES_RECEIVED = struct.Struct('=Q')
+_BYTES_RECEIVED_OFFSET = 128
+
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+)
+
+# Targets are reached in clear text, so this context is never used; it is
+# shared because loading certificates takes milliseconds per transport.
+_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+
+_LIMITS = httpx.Limits(
+    max_connections=1, max_keepalive_connections=1, keepalive_expiry=None
+)
+
+
+def make_transport():
+    """Return a transport for at most one connection."""
+    return httpx.AsyncHTTPTransport(
+        verify=_TLS_CONTEXT,
+        trust_env=False,
+        limits=_LIMITS,
+        socket_options=_SOCKET_OPTIONS,
+    )
+
+
+class Connection:
+    """One connection to a target, opened by its first request."""
+
+    __slots__ = (
+        'created',
+        'is_connected',
+        'last_used',
+        'number',
+        'uses',
+        '_received',
+        '_socket',
+        '_transport',
+    )
+
+    def __init__(self, now, number):
+        self.created = now
+        self.number = number
+        self.last_used = now
+        self.is_connected = False
+        self.uses = 0
+        self._received = None
+        self._socket = None
+        self._transport = make_transport()
+
+    @property
+    def is_reused(self):
+        """Whether an earlier request was answered on it."""
+        return self.uses > 0
+
+    def is_usable(self, now):
+        """Return whether an idle connection may carry a request.
+
+        A readable idle connection was closed by the target or carries
+        bytes that belong to no request.
+        """
+        return (
+            now - self.created < MAX_AGE_S
+            and now - self.last_used < MAX_IDLE_S
+            and self._is_quiet()
+        )
+
+    def _is_quiet(self):
+        if self._socket is None or self._socket.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return not poll.poll(0)
+
+    async def send(self, request):
+        """Send a request and return the response, its body unread."""
+        if self.is_connected:
+            self._received = self._count_received()
+        else:
+            request.extensions['trace'] = self._trace
+        return await self._transport.handle_async_request(request)
+
+    async def _trace(self, name, info):
+        if name == 'connection.connect_tcp.complete':
+            stream = info['return_value']
+            self._socket = stream.get_extra_info('socket')
+            self.is_connected = True
+
+    def has_received(self):
+        """Return whether any byte arrived since the last request's send.
+
+        Without one, the answer to it was left over from the answer to an
+        earlier request. True also where the system does not count bytes.
+        """
+        return self._received is None or (
+            self._count_received() != self._received
+        )
+
+    def _count_received(self):
+        if self._socket.fileno() < 0:
+            return None
+        info = self._socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+        )
+        if len(info) < _TCP_INFO_BYTES:
+            return None
+        return _BYTES_RECEIVED.unpack_from(info, _BYTES_RECEIVED_OFFSET)[0]
+
+    async def close(self):
+        """Close the connection, also when the calling task is cancelled."""
+        await asyncio.shield(self._transport.aclose())
+
+
+async def read_small(send, url, path):
+    """Send a GET request; return status, raw headers and the whole body.
+
+    `send` takes an httpx request and returns its response.
+    """
+    request = httpx.Request(
+        'GET',
+        url,
+        headers=[(b'host', url.netloc), (b'accept', b'*/*')],
+        stream=httpx.ByteStream(b''),
+        extensions={'target': path},
+    )
+    response = await send(request)
+    body = b''
+    async with contextlib.aclosing(response.stream) as stream:
+        async for chunk in stream:
+            body += chunk
+            if len(body) > SMALL_ANSWER_BYTES:
+                raise httpx.ReadError('answer is too long')
+    return response.status_code, response.headers.raw, body
--- a/lavenderstile/exchanges.py
+++ b/lavenderstile/exchanges.py
@@ -1,6 +1,7 @@
 """One request to a target and its answer."""
 
 import asyncio
+import contextlib
 
 import httpx
 
@@ -8,6 +9,7 @@
 from . import errors
 from . import headers as header_tools
 from . import messages
+from . import responses
 from . import verdicts
 
 # Limit for opening a connection; a new one normally takes about 1 ms.
@@ -24,49 +26,10 @@
 # Methods whose requests announce an empty body.
 BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
-# Statuses without a body (RFC 9110, section 6.4.1).
-EMPTY_STATUSES = frozenset((204, 304))
-
 Outcome = messages.Outcome
 Verdict = verdicts.Verdict
 
 
-class TargetResponse:
-    """A target's answer; iterate over it for the raw body.
-
-    `headers` are pairs of bytes without the hop-by-hop ones. `latency_s`
-    is the time from the end of the request's send to the answer's head.
-    `outcome` is set at the end of the body.
-    """
-
-    __slots__ = (
-        'cold',
-        'headers',
-        'instance',
-        'latency_s',
-        'outcome',
-        'status',
-        '_exchange',
-    )
-
-    verdict = Verdict.RAN
-
-    def __init__(self, exchange, response, latency_s):
-        raw = response.headers.raw
-        find = header_tools.find_header
-        self.status = response.status_code
-        self.headers = header_tools.remove_hop_by_hop(raw)
-        self.cold = find(raw, b'x-target-state') == b'cold'
-        self.instance = (find(raw, b'x-instance') or b'').decode('latin-1')
-        self.latency_s = latency_s
-        self.outcome = None
-        self._exchange = exchange
-
-    def __aiter__(self):
-        """Iterate over the raw body; raises `TargetError`."""
-        return self._exchange.iterate_body()
-
-
 class Exchange:
     """Sends one request over a connection and judges how it ends."""
 
@@ -80,6 +43,8 @@
         self._body = None
         self._connection = None
         self._stream = None
+        self._timer = None
+        self._patience_s = 0.0
         self._response = None
         self._caller_s = 0.0
         self._is_late_reader = False
@@ -124,13 +89,45 @@
         )
         try:
             async with asyncio.timeout(remaining):
-                response = await connection.send(request)
+                with self._watch_silence():
+                    response = await connection.send(request)
         except TimeoutError:
             raise self._judge_timeout(remaining) from None
         except (bodies.BodyError, httpx.HTTPError) as error:
             raise self._judge_send(error) from error
         return await self._begin_answer(method, response)
 
+    @contextlib.contextmanager
+    def _watch_silence(self):
+        """Suspect a reused connection that stays without an answer."""
+        if not self._connection.is_reused:
+            yield
+            return
+        # A check has to end before the deadline to be of use.
+        self._patience_s = min(
+            self._pool.get_patience(), self.get_remaining() / 2
+        )
+        self._plan_check(self._patience_s)
+        try:
+            yield
+        finally:
+            self._timer.cancel()
+
+    def _plan_check(self, time_s):
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(time_s, self._check_silence)
+
+    def _check_silence(self):
+        waits_since = self._body.sent_at
+        if waits_since is None:
+            self._plan_check(self._patience_s)
+            return
+        left_s = waits_since + self._patience_s - self._clock.now()
+        if left_s > 0:
+            self._plan_check(left_s)
+            return
+        self._pool.check_new_connection(self._connection, waits_since)
+
     def _complete_headers(self, method, headers, chunks, length):
         remaining_ms = max(1, int(self.get_remaining() * 1000))
         complete = [
@@ -148,7 +145,9 @@
 
     def _judge_send(self, error):
         match error:
-            case httpx.RemoteProtocolError() if not is_disconnect(error):
+            case httpx.RemoteProtocolError() if not responses.is_disconnect(
+                error
+            ):
                 return self.fail(
                     Outcome.TRUNCATED,
                     Verdict.MAY_HAVE_RUN,
@@ -214,20 +213,21 @@
 
     async def _begin_answer(self, method, response):
         self._stream = response.stream
-        self._pool.record_answer(self._connection)
         latency_s = None
         if self._body.sent_at is not None:
             latency_s = self._clock.now() - self._body.sent_at
-        self._response = TargetResponse(self, response, latency_s)
+        self._pool.record_answer(self._connection, latency_s)
+        self._response = responses.TargetResponse(self, response, latency_s)
         raw = response.headers.raw
         echo = header_tools.find_header(raw, b'x-request-id')
-        if not self._pool.check_echo(echo, self._request_id):
+        is_own = self._pool.check_echo(echo, self._request_id)
+        if not is_own or not self._connection.has_received():
             raise self.fail(
                 Outcome.CROSSED,
                 Verdict.MAY_HAVE_RUN,
                 'answer does not carry the id of its request',
             )
-        if not is_framed(method, response.status_code, raw):
+        if not responses.is_framed(method, response.status_code, raw):
             raise self.fail(
                 Outcome.TRUNCATED,
                 Verdict.MAY_HAVE_RUN,
@@ -288,27 +288,3 @@
             self._response.outcome = Outcome.CANCELLED
         if self._stream is not None:
             await self._stream.aclose()
-
-
-def is_disconnect(error):
-    """Return whether a connection ended before any complete answer head.
-
-    The library uses one exception class for this and for malformed heads.
-    """
-    return str(error).startswith('Server disconnected')
-
-
-def is_framed(method, status, headers):
-    """Return whether the end of an answer can be recognized.
-
-    An answer that only the end of its connection delimits looks complete
-    when the target dies in the middle of it.
-    """
-    if status == 101:
-        return False
-    if method == 'HEAD' or status in EMPTY_STATUSES:
-        return True
-    return (
-        header_tools.find_header(headers, b'content-length') is not None
-        or header_tools.find_header(headers, b'transfer-encoding') is not None
-    )
--- a/lavenderstile/forwarding.py
+++ b/lavenderstile/forwarding.py
@@ -81,8 +81,11 @@
                 await pool.release(connection, exchange.is_clean)
 
     async def _acquire(self, pool, exchange):
+        remaining = exchange.get_remaining()
         try:
-            async with asyncio.timeout(exchange.get_remaining()):
+            if remaining <= 0:
+                raise TimeoutError
+            async with asyncio.timeout(remaining):
                 return await pool.acquire()
         except TimeoutError:
             raise exchange.fail(
--- a/lavenderstile/pools.py
+++ b/lavenderstile/pools.py
@@ -1,116 +1,28 @@
-"""Connections to one target: limit, age, reuse and retirement.
-
-Each connection is an httpx transport that holds at most one connection, so
-that its age and its earlier uses are known and it can be closed alone.
-"""
+"""Connections to one target: limit, reuse and retirement."""
 
 import asyncio
 import collections
 import contextlib
-import select
-import socket
-import ssl
 
 import httpx
 
+from . import connections
 from . import silence
 
-# Connections are retired at this age, because an open connection can go
-# silent for ever while new ones work.
-MAX_AGE_S = 60.0
-
-# Idle connections are closed before common servers close them (after 5 s),
-# because a request that meets such a close cannot be proven not to have run.
-MAX_IDLE_S = 4.0
-
-# Limits the bytes that a read can deliver at once, and so the memory that a
-# response body takes; the kernel doubles this value.
-RECEIVE_BUFFER_BYTES = 32 * 1024
-
-_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
-)
-
-# Targets are reached in clear text, so this context is never used; it is
-# shared because loading certificates takes milliseconds per transport.
-_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-
-_LIMITS = httpx.Limits(
-    max_connections=1, max_keepalive_connections=1, keepalive_expiry=None
-)
-
-
-def make_transport():
-    """Return a transport for at most one connection."""
-    return httpx.AsyncHTTPTransport(
-        verify=_TLS_CONTEXT,
-        trust_env=False,
-        limits=_LIMITS,
-        socket_options=_SOCKET_OPTIONS,
-    )
-
-
-class Connection:
-    """One connection to a target, opened by its first request."""
-
-    __slots__ = (
-        'created',
-        'is_connected',
-        'last_used',
-        'number',
-        'uses',
-        '_socket',
-        '_transport',
-    )
-
-    def __init__(self, now, number):
-        self.created = now
-        self.number = number
-        self.last_used = now
-        self.is_connected = False
-        self.uses = 0
-        self._socket = None
-        self._transport = make_transport()
+# A request on a reused connection that has no answer after this time, and
+# after several times the usual one, makes the connection suspect.
+PATIENCE_S = 1.0
+PATIENCE_FACTOR = 4.0
 
-    @property
-    def is_reused(self):
-        """Whether an earlier request was answered on it."""
-        return self.uses > 0
+# Share of a new latency in the mean.
+LATENCY_WEIGHT = 0.1
 
-    def is_usable(self, now):
-        """Return whether an idle connection may carry a request.
+# Suspect connections cause at most one check of a new one in this time. A
+# check takes a target 25 ms.
+CHECK_PERIOD_S = 10.0
 
-        A readable idle connection was closed by the target or carries
-        bytes that belong to no request.
-        """
-        return (
-            now - self.created < MAX_AGE_S
-            and now - self.last_used < MAX_IDLE_S
-            and self._is_quiet()
-        )
-
-    def _is_quiet(self):
-        if self._socket is None or self._socket.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN)
-        return not poll.poll(0)
-
-    async def send(self, request):
-        """Send a request and return the response, its body unread."""
-        if not self.is_connected:
-            request.extensions['trace'] = self._trace
-        return await self._transport.handle_async_request(request)
-
-    async def _trace(self, name, info):
-        if name == 'connection.connect_tcp.complete':
-            stream = info['return_value']
-            self._socket = stream.get_extra_info('socket')
-            self.is_connected = True
-
-    async def close(self):
-        """Close the connection."""
-        await self._transport.aclose()
+# Limit for a check, connecting included.
+CHECK_TIMEOUT_S = 1.0
 
 
 class TargetPool:
@@ -127,6 +39,9 @@
         self._connections = set()
         self._waiters = collections.deque()
         self._echoes = False
+        self._latency_s = 0.0
+        self._checked_at = float('-inf')
+        self._checks = set()
         self._silence = silence.SilenceJudge()
 
     @property
@@ -161,9 +76,50 @@
         self._echoes = True
         return echo == request_id
 
-    def record_answer(self, connection):
+    def record_answer(self, connection, latency_s=None):
         """Record that an answer began on a connection."""
         self._silence.record_answer(connection.number, self._clock.now())
+        if latency_s is not None:
+            change_s = latency_s - self._latency_s
+            self._latency_s += LATENCY_WEIGHT * change_s
+
+    def get_patience(self):
+        """Return the time after which a silent connection is suspect."""
+        return max(PATIENCE_S, PATIENCE_FACTOR * self._latency_s)
+
+    def check_new_connection(self, connection, sent_at):
+        """Find out whether a newer connection than this one works.
+
+        The answer counts when the request on `connection` times out. No
+        check is made while a recent one or a newer answer tells, or when
+        it would exceed the connection limit.
+        """
+        now = self._clock.now()
+        if (
+            now - self._checked_at < CHECK_PERIOD_S
+            or len(self._connections) >= self.limit
+            or self._silence.is_newer_working(connection.number, sent_at)
+        ):
+            return
+        self._checked_at = now
+        check = asyncio.create_task(self._check(self._open()))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    async def _check(self, connection):
+        is_clean = False
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                await connections.read_small(
+                    connection.send, self.url, b'/health'
+                )
+            self.record_answer(connection)
+            is_clean = True
+        except (TimeoutError, httpx.HTTPError):
+            # The target does not answer on a new connection either.
+            pass
+        finally:
+            await self.release(connection, is_clean)
 
     def record_timeout(self, connection, sent_at):
         """Record a timeout; return whether only the connection is silent.
@@ -228,7 +184,9 @@
                 return
 
     def _open(self):
-        connection = Connection(self._clock.now(), self._next_number)
+        connection = connections.Connection(
+            self._clock.now(), self._next_number
+        )
         self._next_number += 1
         self._connections.add(connection)
         return connection
@@ -267,4 +225,6 @@
     async def close(self):
         """Retire everything and close idle connections."""
         self.retire()
+        for check in self._checks:
+            check.cancel()
         await self.sweep()
--- a/lavenderstile/probes.py
+++ b/lavenderstile/probes.py
@@ -1,14 +1,13 @@
 """Background probes of the targets' health and load endpoints."""
 
 import asyncio
-import contextlib
 
 import httpx
 import msgspec
 
+from . import connections
 from . import headers as header_tools
 from . import messages
-from . import pools
 
 # A probe takes a target 25 ms. With this interval all probes together take
 # 0.5% of one slot, provided that only a service's owner probes its targets.
@@ -23,9 +22,6 @@
 # Probes that may run at once; slow targets must not use up the host.
 CONCURRENT_PROBES = 16
 
-# Longest answer that is read.
-ANSWER_BYTES = 16 * 1024
-
 
 class _LoadAnswer(msgspec.Struct):
     """The part of a load endpoint's answer that is used."""
@@ -100,12 +96,16 @@
 async def probe_target(address, timeout_s=PROBE_TIMEOUT_S):
     """Return the fields of a hint about one target."""
     hint = {'healthy': False}
-    transport = pools.make_transport()
+    transport = connections.make_transport()
+    send = transport.handle_async_request
+    url = httpx.URL(f'http://{address}')
     try:
         async with asyncio.timeout(timeout_s):
-            status, headers, _ = await _read(transport, address, b'/health')
+            status, headers, _ = await connections.read_small(
+                send, url, b'/health'
+            )
             hint = describe_health(status, headers)
-            status, _, body = await _read(transport, address, b'/load')
+            status, _, body = await connections.read_small(send, url, b'/load')
             if status == 200:
                 hint['running'] = parse_running(body)
     except (TimeoutError, httpx.HTTPError):
@@ -134,21 +134,3 @@
         return msgspec.json.decode(body, type=_LoadAnswer).running
     except msgspec.DecodeError:
         return None
-
-
-async def _read(transport, address, path):
-    request = httpx.Request(
-        'GET',
-        f'http://{address}',
-        headers=[(b'host', address.encode()), (b'accept', b'*/*')],
-        stream=httpx.ByteStream(b''),
-        extensions={'target': path},
-    )
-    response = await transport.handle_async_request(request)
-    body = b''
-    async with contextlib.aclosing(response.stream) as stream:
-        async for chunk in stream:
-            body += chunk
-            if len(body) > ANSWER_BYTES:
-                raise httpx.ReadError('answer is too long')
-    return response.status_code, response.headers.raw, body
--- a/lavenderstile/silence.py
+++ b/lavenderstile/silence.py
@@ -47,13 +47,20 @@
             return False
         if now - self._event_at < EVENT_PERIOD_S:
             return number < self._first_good
-        working = [
-            other
-            for other, answered_at in self._answers.items()
-            if other > number and answered_at >= sent_at
-        ]
+        working = self._find_newer(number, sent_at)
         if not working:
             return False
         self._event_at = now
         self._first_good = max(working)
         return True
+
+    def is_newer_working(self, number, since):
+        """Return whether the target answered on a newer connection."""
+        return bool(self._find_newer(number, since))
+
+    def _find_newer(self, number, since):
+        return [
+            other
+            for other, answered_at in self._answers.items()
+            if other > number and answered_at >= since
+        ]
--- /dev/null
+++ b/tests/cases.py
@@ -0,0 +1,83 @@
+"""Set-up shared by the tests of the connections to targets."""
+
+import unittest
+
+from lavenderstile import clocks
+from lavenderstile import errors
+from lavenderstile import forwarding
+from tests.standins import target
+from tests.standins import target_state
+
+# Overall limit of one request; not a bound on what a test measures.
+LIMIT_S = 30.0
+
+# Deadline of requests that are meant to time out.
+SHORT_S = 0.3
+
+
+class MovableClock(clocks.Clock):
+    """The machine's clock, which a test can move forward."""
+
+    __slots__ = ('_ahead_s',)
+
+    def __init__(self):
+        self._ahead_s = 0.0
+
+    def now(self):
+        return super().now() + self._ahead_s
+
+    def advance(self, seconds):
+        self._ahead_s += seconds
+
+
+class ForwardingCase(unittest.IsolatedAsyncioTestCase):
+    """Common set-up: a forwarder and stand-in targets."""
+
+    async def asyncSetUp(self):
+        self.clock = MovableClock()
+        self.forwarder = forwarding.Forwarder(self.clock)
+        self.addAsyncCleanup(self.forwarder.close)
+        self.sent = 0
+
+    async def start_target(self, host='127.0.0.1', **behaviour):
+        state = target_state.TargetState(
+            behaviour=target_state.Behaviour(**behaviour)
+        )
+        server = target.Target(state)
+        address = await self.enterAsyncContext(
+            target.serve_target(server, host)
+        )
+        return server, address
+
+    def open(self, address, path=b'/', method='GET', body=None, **options):
+        self.sent += 1
+        options = {
+            'headers': [],
+            'request_id': f'request-{self.sent}',
+            'deadline': self.clock.now() + LIMIT_S,
+        } | options
+        return self.forwarder.open(address, method, path, body=body, **options)
+
+    async def call(self, address, *args, **options):
+        """Send a request; return the response and its whole body."""
+        async with self.open(address, *args, **options) as response:
+            parts = [part async for part in response]
+        return response, b''.join(parts)
+
+    async def call_short(self, address, *args, **options):
+        deadline = self.clock.now() + SHORT_S
+        return await self.call(address, *args, deadline=deadline, **options)
+
+    async def assert_fails(self, outcome, verdict, call):
+        """Await a call that must fail in this way; return its error."""
+        with self.assertRaises(errors.TargetError) as caught:
+            await call
+        error = caught.exception
+        self.assertEqual((error.outcome, error.verdict), (outcome, verdict))
+        return error
+
+
+async def iterate(*chunks):
+    """Iterate over chunks as a caller's body does."""
+    for chunk in chunks:
+        yield chunk
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -102,7 +102,8 @@
         """Return newer items, waiting up to `wait_s` for the first."""
 
         def is_ready():
-            return self.mode == 'silent' or self.find_after(prefix, after)
+            is_broken = self.mode in ('silent', 'failing')
+            return is_broken or self.find_after(prefix, after)
 
         try:
             async with asyncio.timeout(min(wait_s, WAIT_LIMIT_S)):
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -11,9 +11,19 @@
 import msgspec
 import uvicorn
 
+# Overall limit for waiting in a test.
+WAIT_LIMIT_S = 30.0
+
 STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
 
+async def wait_until(predicate):
+    """Wait until `predicate()` holds, up to an overall limit."""
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not predicate():
+            await asyncio.sleep(0.002)
+
+
 def bind_socket(host='127.0.0.1', port=0):
     """Return a bound TCP socket; port 0 takes any free one.
 
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -76,6 +76,7 @@
         """Count an accepted connection; reset it when over the limit."""
         self.accepted += 1
         protocol.number = self.accepted
+        protocol.silent = self.state.behaviour.silent_new
         if len(self.connections) >= self.state.behaviour.connections:
             self.refused += 1
             protocol.reset()
--- a/tests/standins/target_state.py
+++ b/tests/standins/target_state.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from . import serving
+
 # Runs that are kept for assertions.
 RUNS_LIMIT = 100_000
 
@@ -19,6 +21,7 @@
 
     slots: int = 3
     connections: int = 400
+    silent_new: bool = False
     work_s: float = 0.0
     cold_answers: int = 20
     cold_s: float = 30.0
@@ -168,8 +171,9 @@
 
     async def wait_for(self, predicate):
         """Wait until `predicate(self)` holds; checked after each change."""
-        while not predicate(self):
-            await self.changed.wait()
+        async with asyncio.timeout(serving.WAIT_LIMIT_S):
+            while not predicate(self):
+                await self.changed.wait()
 
     def draw(self, share):
         """Return True with the given probability."""
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,103 @@
+"""Tests of uploads and of the blame for their faults."""
+
+import asyncio
+
+from lavenderstile import errors
+from lavenderstile import messages
+from lavenderstile import verdicts
+from tests import cases
+
+
+class CallerTest(cases.ForwardingCase):
+    """Guards against blaming a target for its caller."""
+
+    async def test_a_body_that_fails_half_way_reaches_no_end(self):
+        server, address = await self.start_target()
+
+        async def fail_half_way():
+            yield b'half'
+            raise ConnectionError('caller went away')
+
+        for extra in ([], [(b'content-length', b'8')]):
+            call = self.call(
+                address, b'/', 'POST', fail_half_way(), headers=extra
+            )
+            await self.assert_fails(
+                messages.Outcome.CANCELLED, verdicts.Verdict.MAY_HAVE_RUN, call
+            )
+        await server.state.wait_for(
+            lambda state: len(state.runs) == 2 and state.running == 0
+        )
+        for run in server.state.runs:
+            self.assertEqual(run.end, 'broken_request')
+            self.assertFalse(run.executed)
+
+    async def test_a_body_that_stalls_is_the_callers_fault(self):
+        server, address = await self.start_target()
+
+        async def stall_half_way():
+            yield b'half'
+            await asyncio.Event().wait()
+
+        call = self.call_short(address, b'/', 'POST', stall_half_way())
+        await self.assert_fails(
+            messages.Outcome.CANCELLED, verdicts.Verdict.MAY_HAVE_RUN, call
+        )
+        await server.state.wait_for(lambda state: state.runs[0].end)
+        self.assertEqual(server.state.runs[0].end, 'broken_request')
+
+    async def test_a_body_of_another_length_is_broken(self):
+        server, address = await self.start_target()
+        for length in (b'3', b'9'):
+            call = self.call(
+                address,
+                b'/',
+                'POST',
+                cases.iterate(b'four'),
+                headers=[(b'content-length', length)],
+            )
+            await self.assert_fails(
+                messages.Outcome.CANCELLED, verdicts.Verdict.MAY_HAVE_RUN, call
+            )
+        await server.state.wait_for(
+            lambda state: len(state.runs) == 2 and state.running == 0
+        )
+        self.assertFalse(any(run.executed for run in server.state.runs))
+
+    async def test_a_caller_that_reads_late_is_at_fault(self):
+        _, address = await self.start_target(stalled_body_share=1.0)
+        with self.assertRaises(errors.TargetError) as caught:
+            async with self.open(address) as response:
+                async for _ in response:
+                    self.clock.advance(cases.LIMIT_S)
+        self.assertEqual(caught.exception.outcome, messages.Outcome.CANCELLED)
+
+    async def test_a_slow_body_is_not_in_the_latency(self):
+        _, address = await self.start_target()
+
+        async def wait_half_way():
+            yield b'half'
+            self.clock.advance(20.0)
+            yield b'half'
+
+        response, _ = await self.call(address, b'/', 'POST', wait_half_way())
+        self.assertLess(response.latency_s, 20.0)
+
+    async def test_a_cancelled_request_is_cancelled_at_the_target(self):
+        server, address = await self.start_target()
+        call = asyncio.create_task(self.call(address, b'/?work_ms=60000'))
+        await server.state.wait_for(lambda state: state.running == 1)
+        call.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await call
+        await server.state.wait_for(lambda state: state.running == 0)
+        self.assertEqual(server.state.runs[0].end, 'cancelled')
+        self.assertEqual(self.forwarder.get_pool(address).connections, 0)
+
+    async def test_an_answer_left_unread_closes_the_connection(self):
+        _, address = await self.start_target()
+        path = b'/?answer_bytes=3000000'
+        async with self.open(address, path) as response:
+            pass
+        self.assertEqual(response.outcome, messages.Outcome.CANCELLED)
+        self.assertEqual(self.forwarder.get_pool(address).connections, 0)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -73,8 +73,7 @@
 
     async def test_a_watch_waits_for_a_value_and_is_one_call(self):
         watch = asyncio.create_task(self.read(wait=LIMIT_S))
-        while self.state.calls == 0:
-            await asyncio.sleep(0.001)
+        await serving.wait_until(lambda: self.state.calls > 0)
         self.assertFalse(watch.done())
         await self.control('values', key='tickets/1', value='one')
         answer = await watch
@@ -98,8 +97,7 @@
 
     async def test_a_silent_platform_answers_nothing(self):
         watch = asyncio.create_task(self.read(wait=LIMIT_S))
-        while self.state.calls == 0:
-            await asyncio.sleep(0.001)
+        await serving.wait_until(lambda: self.state.calls > 0)
         await self.control('mode', mode='silent')
         with self.assertRaises(httpx.ReadTimeout):
             await self.client.get('/v1/hosts', timeout=0.2)
