Exempt control calls from a stand-in target's silence and resets

Change: connections that carried a control call are exempt. The test gives the target 100 slots and also counts stalled calls. New tests: a reset during the upload, backpressure in both directions, control during silence. TargetPool.close waits for its checks.

--- a/lavenderstile/forwarding.py
+++ b/lavenderstile/forwarding.py
@@ -67,7 +67,8 @@
         from `headers.prepare_for_target`. `body` is an asynchronous
         iterator of bytes, or None; it has to raise when the caller goes
         away before its end. `deadline` is on the clock's scale. Raises
-        `errors.TargetError`.
+        `errors.TargetError`; with the outcomes CONNECT_FAILED and NOT_SENT
+        nothing of `body` has been read.
         """
         pool = self._get_pool(address)
         exchange = exchanges.Exchange(self._clock, pool, request_id, deadline)
--- a/lavenderstile/pools.py
+++ b/lavenderstile/pools.py
@@ -225,6 +225,8 @@
     async def close(self):
         """Retire everything and close idle connections."""
         self.retire()
-        for check in self._checks:
+        checks = list(self._checks)
+        for check in checks:
             check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
         await self.sweep()
--- a/tests/standins/callers.py
+++ b/tests/standins/callers.py
@@ -47,6 +47,7 @@
     duration_s: float = 60.0
     body_bytes: int = 0
     deadline_ms: int = 10_000
+    grace_s: float = 5.0
     connections: int = 50
     idempotency: bool = False
     seed: int = 1
@@ -171,7 +172,10 @@
             max_connections=self._plan.connections,
             max_keepalive_connections=self._plan.connections,
         )
-        timeout = httpx.Timeout(self._plan.deadline_ms / 1000 + 5)
+        # The proxy's own refusal at the deadline has to arrive in time.
+        timeout = httpx.Timeout(
+            self._plan.deadline_ms / 1000 + self._plan.grace_s
+        )
         async with httpx.AsyncClient(
             limits=limits, timeout=timeout, trust_env=False
         ) as self._client:
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -2,8 +2,10 @@
 
 Run it with `python -m tests.standins.target --listen 127.0.0.1:7800`. Any
 path runs a request; `/health` and `/load` are hints; `/control/...` belongs
-to the test. Query parameters of a request: `work_ms` is the time it takes,
-`answer_bytes` the size of a generated answer in place of the JSON echo.
+to the test, whose connections count towards the limit but are neither
+silenced nor reset. Query parameters of a request: `work_ms` is the time it
+takes, `answer_bytes` the size of a generated answer in place of the JSON
+echo.
 """
 
 import asyncio
@@ -31,6 +33,7 @@
         super().__init__(*args, **kwargs)
         self._target = target
         self.number = 0
+        self.is_control = False
         self.silent = False
 
     def connection_made(self, transport):
@@ -67,6 +70,15 @@
         self.peak_connections = 0
         self._exit_on_crash = exit_on_crash
 
+    @property
+    def used_connections(self):
+        """Connections that carried no control call."""
+        return [
+            protocol
+            for protocol in self.connections.values()
+            if not protocol.is_control
+        ]
+
     @property
     def protocol(self):
         """Protocol class to give to uvicorn."""
@@ -92,10 +104,15 @@
 
     def silence(self):
         """Make all connections of this moment silent for ever."""
-        for protocol in self.connections.values():
+        for protocol in self.used_connections:
             protocol.silent = True
 
     def reset_connections(self):
+        """Reset every connection but those of the test's control."""
+        for protocol in self.used_connections:
+            protocol.reset()
+
+    def end_connections(self):
         """Reset every connection."""
         for protocol in list(self.connections.values()):
             protocol.reset()
@@ -116,16 +133,18 @@
     async def __call__(self, scope, receive, send):
         """Answer one request."""
         path = scope['path']
+        protocol = self.connections.get(tuple(scope['client']))
+        if protocol is None:
+            return
         if path.startswith('/control/'):
+            protocol.is_control = True
             await self._control(path[len('/control/') :], receive, send)
         elif path in ('/health', '/load'):
             await self._answer_hint(path[1:], send)
         else:
-            protocol = self.connections.get(tuple(scope['client']))
-            if protocol is not None:
-                await target_exchange.Exchange(
-                    self, protocol, scope, receive, send
-                ).run()
+            await target_exchange.Exchange(
+                self, protocol, scope, receive, send
+            ).run()
 
     async def _answer_hint(self, name, send):
         self.state.probes[name] += 1
@@ -195,7 +214,7 @@
         host,
         port,
         http=target.protocol,
-        on_stop=target.reset_connections,
+        on_stop=target.end_connections,
     ) as address:
         yield address
 
@@ -228,7 +247,7 @@
         target,
         options.listen,
         http=target.protocol,
-        on_stop=target.reset_connections,
+        on_stop=target.end_connections,
     )
 
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -6,6 +6,9 @@
 from lavenderstile import messages
 from lavenderstile import verdicts
 from tests import cases
+from tests.standins import serving
+
+PIECE = bytes(64 * 1024)
 
 
 class CallerTest(cases.ForwardingCase):
@@ -72,6 +75,22 @@
                     self.clock.advance(cases.LIMIT_S)
         self.assertEqual(caught.exception.outcome, messages.Outcome.CANCELLED)
 
+    async def test_a_target_that_resets_half_way_is_to_blame(self):
+        server, address = await self.start_target()
+
+        async def reset_half_way():
+            yield b'half'
+            await server.state.wait_for(lambda state: state.running == 1)
+            server.reset_connections()
+            for _ in range(1000):
+                yield bytes(64 * 1024)
+
+        call = self.call(address, b'/', 'POST', reset_half_way())
+        await self.assert_fails(
+            messages.Outcome.CRASHED, verdicts.Verdict.MAY_HAVE_RUN, call
+        )
+        self.assertFalse(server.state.runs[0].executed)
+
     async def test_a_slow_body_is_not_in_the_latency(self):
         _, address = await self.start_target()
 
@@ -101,3 +120,36 @@
             pass
         self.assertEqual(response.outcome, messages.Outcome.CANCELLED)
         self.assertEqual(self.forwarder.get_pool(address).connections, 0)
+
+
+class FlowTest(cases.ForwardingCase):
+    """Guards against bodies that pile up in this process."""
+
+    async def test_an_upload_waits_for_a_target_that_does_not_read(self):
+        listener = serving.bind_socket()
+        self.addCleanup(listener.close)
+        listener.listen(1)
+        host, port = listener.getsockname()
+        read_bytes = 0
+
+        async def read_for_ever():
+            nonlocal read_bytes
+            while True:
+                read_bytes += len(PIECE)
+                yield PIECE
+
+        call = self.call_short(f'{host}:{port}', b'/', 'POST', read_for_ever())
+        await self.assert_fails(
+            messages.Outcome.TIMEOUT, verdicts.Verdict.MAY_HAVE_RUN, call
+        )
+        # Socket buffers of the kernel hold some megabytes at most.
+        self.assertLess(read_bytes, 32 * 1024 * 1024)
+
+    async def test_a_download_waits_for_a_caller_that_does_not_read(self):
+        server, address = await self.start_target()
+        path = b'/?answer_bytes=100000000'
+        async with self.open(address, path) as response:
+            await anext(aiter(response))
+            (connection,) = server.connections.values()
+            await serving.wait_until(lambda: connection.flow.write_paused)
+        await server.state.wait_for(lambda state: state.running == 0)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -244,6 +244,16 @@
         self.assertEqual(answer.status_code, 200)
         self.assertEqual(server.accepted, 2)
 
+    async def test_control_goes_on_while_connections_are_silent(self):
+        server, client = await self.start_target()
+        async with make_client(str(client.base_url.netloc, 'ascii')) as other:
+            await other.get('/')
+            await client.post('/control/silence')
+            with self.assertRaises(httpx.ReadTimeout):
+                await other.get('/', timeout=0.2)
+            answer = await client.get('/control/counters')
+        self.assertEqual(answer.json()['accepted'], 2)
+
     async def test_a_marked_request_crashes_it(self):
         server, client = await self.start_target(crash_marker='poison')
         with self.assertRaises(httpx.HTTPError):
@@ -304,9 +314,16 @@
         self.assertIn('answered', report.format_table())
 
     async def test_truncated_and_stalled_answers_are_told_apart(self):
-        server, client = await self.start_target(truncated_share=1.0)
+        server, client = await self.start_target(
+            slots=100, truncated_share=1.0
+        )
         report = await self.run_plan(client, count=5)
         self.assertEqual(report.count(kind='truncated'), 5)
+        server.state.change({'truncated_share': 0.0, 'stalled_share': 1.0})
+        report = await self.run_plan(
+            client, count=5, deadline_ms=200, grace_s=0.1
+        )
+        self.assertEqual(report.count(kind='timeout'), 5)
 
     def test_only_loopback_is_allowed(self):
         plan = callers.Plan(urls=('http://192.0.2.1:80',))
