Let a request ask for a recently used connection

Cause: a request that meets the target's close of an idle connection ends as may-have-run, which costs most where it moves money. Targets may close idle connections earlier than the 4 s for which the pool keeps them.

Change: Forwarder.open takes max_idle_s. A free connection is taken without a timer, and a waiter that lost its turn to a newer request keeps its place. TargetPool.open_count and idle_count replace connections and idle.

The cost per call was not measured again.

--- a/lavenderstile/connections.py
+++ b/lavenderstile/connections.py
@@ -86,7 +86,7 @@
         """Whether an earlier request was answered on it."""
         return self.uses > 0
 
-    def is_usable(self, now):
+    def is_usable(self, now, max_idle_s):
         """Return whether an idle connection may carry a request.
 
         A readable idle connection was closed by the target or carries
@@ -94,7 +94,7 @@
         """
         return (
             now - self.created < MAX_AGE_S
-            and now - self.last_used < MAX_IDLE_S
+            and now - self.last_used < max_idle_s
             and self._is_quiet()
         )
 
--- a/lavenderstile/forwarding.py
+++ b/lavenderstile/forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from . import connections
 from . import exchanges
 from . import messages
 from . import pools
@@ -60,6 +61,7 @@
         *,
         request_id,
         deadline,
+        max_idle_s=connections.MAX_IDLE_S,
     ):
         """Send a request to a target and yield its `TargetResponse`.
 
@@ -69,10 +71,14 @@
         away before its end. `deadline` is on the clock's scale. Raises
         `errors.TargetError`; with the outcomes CONNECT_FAILED and NOT_SENT
         nothing of `body` has been read.
+
+        `max_idle_s` limits how long the connection may have been idle. A
+        lower value makes it less likely that a request meets the target's
+        close of an idle connection and ends as "may have run".
         """
         pool = self._get_pool(address)
         exchange = exchanges.Exchange(self._clock, pool, request_id, deadline)
-        connection = await self._acquire(pool, exchange)
+        connection = await self._acquire(pool, exchange, max_idle_s)
         try:
             yield await exchange.send(connection, method, path, headers, body)
         finally:
@@ -81,13 +87,16 @@
             finally:
                 await pool.release(connection, exchange.is_clean)
 
-    async def _acquire(self, pool, exchange):
+    async def _acquire(self, pool, exchange, max_idle_s):
         remaining = exchange.get_remaining()
         try:
             if remaining <= 0:
                 raise TimeoutError
+            connection = pool.take(max_idle_s)
+            if connection is not None:
+                return connection
             async with asyncio.timeout(remaining):
-                return await pool.acquire()
+                return await pool.acquire(max_idle_s)
         except TimeoutError:
             raise exchange.fail(
                 messages.Outcome.NOT_SENT,
--- a/lavenderstile/pools.py
+++ b/lavenderstile/pools.py
@@ -45,12 +45,12 @@
         self._silence = silence.SilenceJudge()
 
     @property
-    def connections(self):
+    def open_count(self):
         """Number of open connections, idle ones included."""
         return len(self._connections)
 
     @property
-    def idle(self):
+    def idle_count(self):
         """Number of idle connections."""
         return len(self._idle)
 
@@ -141,29 +141,46 @@
             self.retire()
         return is_silent
 
-    async def acquire(self):
-        """Return a connection for one request, waiting for a free one."""
+    def take(self, max_idle_s=connections.MAX_IDLE_S):
+        """Return a connection if one is there at once, else None."""
+        if self._waiters or not self._is_free():
+            return None
+        if not self._idle:
+            return self._open()
+        if self._is_usable(self._idle[-1], max_idle_s):
+            return self._idle.pop()
+        return None
+
+    async def acquire(self, max_idle_s=connections.MAX_IDLE_S):
+        """Return a connection for one request, waiting for a free one.
+
+        A connection that was idle for longer than `max_idle_s` is not
+        used.
+        """
         while True:
             await self._wait_until_free()
             if not self._idle:
                 return self._open()
             connection = self._idle.pop()
-            if self._is_usable(connection):
+            if self._is_usable(connection, max_idle_s):
                 return connection
             await self._close(connection)
 
-    def _is_usable(self, connection):
+    def _is_usable(self, connection, max_idle_s=connections.MAX_IDLE_S):
         return (
             connection.number >= self._first_usable
-            and connection.is_usable(self._clock.now())
+            and connection.is_usable(self._clock.now(), max_idle_s)
         )
 
     async def _wait_until_free(self):
         if not self._waiters and self._is_free():
             return
+        enqueue = self._waiters.append
         while True:
             waiter = asyncio.get_running_loop().create_future()
-            self._waiters.append(waiter)
+            enqueue(waiter)
+            # When another request was faster, the turn is kept.
+            enqueue = self._waiters.appendleft
             try:
                 await waiter
             except asyncio.CancelledError:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -111,7 +111,7 @@
             await call
         await server.state.wait_for(lambda state: state.running == 0)
         self.assertEqual(server.state.runs[0].end, 'cancelled')
-        self.assertEqual(self.forwarder.get_pool(address).connections, 0)
+        self.assertEqual(self.forwarder.get_pool(address).open_count, 0)
 
     async def test_an_answer_left_unread_closes_the_connection(self):
         _, address = await self.start_target()
@@ -119,7 +119,7 @@
         async with self.open(address, path) as response:
             pass
         self.assertEqual(response.outcome, messages.Outcome.CANCELLED)
-        self.assertEqual(self.forwarder.get_pool(address).connections, 0)
+        self.assertEqual(self.forwarder.get_pool(address).open_count, 0)
 
 
 class FlowTest(cases.ForwardingCase):
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -249,7 +249,7 @@
         self.assertEqual(
             caught.exception.verdict, verdicts.Verdict.MAY_HAVE_RUN
         )
-        self.assertEqual(self.forwarder.get_pool(address).connections, 0)
+        self.assertEqual(self.forwarder.get_pool(address).open_count, 0)
         return size
 
     async def test_by_length(self):
@@ -290,7 +290,7 @@
             verdicts.Verdict.MAY_HAVE_RUN,
             self.call(address),
         )
-        self.assertEqual(self.forwarder.get_pool(address).connections, 0)
+        self.assertEqual(self.forwarder.get_pool(address).open_count, 0)
 
     async def test_a_late_answer_never_meets_the_next_request(self):
         server, address = await self.start_target()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -73,6 +73,16 @@
             self.clock.advance(step_s)
         self.assertEqual(server.accepted, 2)
 
+    async def test_a_request_can_ask_for_a_recently_used_connection(self):
+        server, address = await self.start_target()
+        await self.forwarder.set_limits({address: 1})
+        await self.call(address)
+        self.clock.advance(1.0)
+        await self.call(address, max_idle_s=0.5)
+        self.assertEqual(server.accepted, 2)
+        await self.call(address, max_idle_s=30.0)
+        self.assertEqual((server.accepted, server.peak_connections), (2, 1))
+
     async def test_idle_connections_are_closed(self):
         server, address = await self.start_target()
         await self.call(address)
@@ -80,7 +90,7 @@
         runner = asyncio.create_task(self.forwarder.run())
         await serving.wait_until(lambda: not server.connections)
         runner.cancel()
-        self.assertEqual(self.forwarder.get_pool(address).connections, 0)
+        self.assertEqual(self.forwarder.get_pool(address).open_count, 0)
 
     async def test_no_connection_outlives_a_fault(self):
         faults = (
@@ -113,7 +123,7 @@
             asyncio.create_task(self.call_short(address)) for _ in range(3)
         ]
         pool = self.forwarder.get_pool(address)
-        await serving.wait_until(lambda: not pool.idle)
+        await serving.wait_until(lambda: not pool.idle_count)
         await self.call(address)
         for call in silent:
             await self.assert_fails(
@@ -197,10 +207,10 @@
         cancelled = await asyncio.gather(*calls)
         self.assertIn(True, cancelled)
         pool = self.forwarder.get_pool(address)
-        self.assertEqual(pool.connections, pool.idle)
+        self.assertEqual(pool.open_count, pool.idle_count)
         self.assertLessEqual(server.peak_connections, 4)
         response, _ = await self.call(address)
         self.assertEqual(response.status, 200)
         await self.forwarder.close()
         await serving.wait_until(lambda: not server.connections)
-        self.assertEqual(pool.connections, 0)
+        self.assertEqual(pool.open_count, 0)
