Check tickets in a thread and refresh only what a ticket changed

A refused ticket was fetched from the peers again with each exchange, as it was never known.

Change: the check runs in a thread; digests of refused tickets are told to peers as known; keys and routes are refreshed for the changed objects only.

--- a/lavenderstile/admin.py
+++ b/lavenderstile/admin.py
@@ -7,6 +7,7 @@
 from litestar import status_codes
 
 from . import __version__
+from . import admin_answers
 
 
 def create_admin_application(daemon):
@@ -33,8 +34,8 @@
         return daemon.dump()
 
     @litestar.get('/-/configuration')
-    async def configuration() -> dict:
-        return dump_configuration(daemon.configuration)
+    async def configuration() -> admin_answers.ConfigurationAnswer:
+        return daemon.describe_configuration()
 
     @litestar.get('/-/explain/request/{request_id:str}')
     async def explain_request(request_id: str) -> response.Response:
@@ -58,14 +59,14 @@
         return {'draining': True}
 
     @litestar.get('/-/version')
-    async def version() -> dict:
-        return {
-            'name': 'lavenderstile',
-            'version': __version__,
-            'python': platform_module.python_version(),
-            'incarnation': daemon.membership.incarnation,
-            'address': daemon.membership.address,
-        }
+    async def version() -> admin_answers.VersionAnswer:
+        return admin_answers.VersionAnswer(
+            'lavenderstile',
+            __version__,
+            platform_module.python_version(),
+            daemon.membership.incarnation,
+            daemon.membership.address,
+        )
 
     @litestar.get('/metrics')
     async def metrics() -> response.Response:
@@ -95,24 +96,3 @@
     return response.Response(
         {'detail': detail}, status_code=status_codes.HTTP_404_NOT_FOUND
     )
-
-
-def dump_configuration(configuration):
-    """Return what is in force as JSON-able data, without any key digest."""
-    return {
-        'newest': configuration.newest,
-        'digest': configuration.digest.hex(),
-        'objects': [
-            {
-                'kind': kind,
-                'name': name,
-                'ticket': number,
-                'digest': digest.hex(),
-            }
-            for (kind, name), (number, digest) in sorted(
-                configuration.versions.items()
-            )
-        ],
-        'conflicts': [str(item) for item in configuration.conflicts],
-        'unresolved': [str(item) for item in configuration.unresolved],
-    }
--- a/lavenderstile/configuration_task.py
+++ b/lavenderstile/configuration_task.py
@@ -1,15 +1,22 @@
 """Task that owns the configuration in force and applies tickets to it."""
 
 import asyncio
+import collections
 import dataclasses
+import hashlib
 
 import eliot
 
+from . import configuration as configuration_module
 from . import errors
 from . import keys
 from . import routes
 from . import tickets
 
+# Refused tickets are remembered, so that they are not fetched from the
+# peers again with each exchange.
+MAX_REFUSED = 1024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TicketText:
@@ -27,7 +34,7 @@
         self._configuration = configuration
         self._metrics = metrics
         self._inbox = asyncio.Queue()
-        self._generation = -1
+        self._refused = collections.OrderedDict()
         self._key_ring = keys.KeyRing.from_workspaces({})
         self._route_table = routes.RouteTable({})
 
@@ -46,6 +53,11 @@
         """The routes in force."""
         return self._route_table
 
+    @property
+    def known_digests(self):
+        """Digests of the tickets in force and of those refused lately."""
+        return [*self._configuration.tickets, *self._refused]
+
     async def deliver(self, text, source):
         """Apply a ticket; return once it is in force or refused."""
         applied = asyncio.get_running_loop().create_future()
@@ -57,29 +69,43 @@
         while True:
             message = await self._inbox.get()
             try:
-                self._apply(message.text, message.source)
+                await self._check_and_apply(message.text, message.source)
             except Exception:
                 eliot.write_traceback()
                 self._metrics.tickets.inc({'result': 'failed'})
             if not message.applied.done():
                 message.applied.set_result(None)
 
-    def _apply(self, text, source):
+    async def _check_and_apply(self, text, source):
+        digest = hashlib.sha256(text.encode()).digest()
+        if digest in self._refused or digest in self._configuration.tickets:
+            return
         try:
-            ticket = tickets.parse_ticket(text, source)
-        except errors.TicketError as error:
-            self._metrics.tickets.inc({'result': 'refused'})
-            eliot.log_message(
-                'ticket_refused', source=source, faults=list(error.faults)
+            # A ticket of 1 MB takes more than a second to check, which
+            # would stop all requests of the host.
+            ticket = await asyncio.to_thread(
+                tickets.parse_ticket, text, source
             )
+        except errors.TicketError as error:
+            self._refuse(digest, source, error)
             return
+        self._apply(ticket, source)
+
+    def _refuse(self, digest, source, error):
+        self._refused[digest] = None
+        if len(self._refused) > MAX_REFUSED:
+            self._refused.popitem(last=False)
+        self._metrics.tickets.inc({'result': 'refused'})
+        eliot.log_message(
+            'ticket_refused', source=source, faults=list(error.faults)
+        )
+
+    def _apply(self, ticket, source):
         result = self._configuration.apply(ticket)
-        self._report(ticket, source, result)
-        self._refresh()
-
-    def _report(self, ticket, source, result):
-        outcome = 'applied' if result.changed else 'ignored'
-        self._metrics.tickets.inc({'result': outcome})
+        self._refresh(result)
+        self._metrics.tickets.inc(
+            {'result': 'applied' if result.changed else 'ignored'}
+        )
         if result.conflicts:
             self._metrics.tickets.inc({'result': 'conflict'})
             eliot.log_message(
@@ -96,11 +122,13 @@
                 objects=['.'.join(item) for item in result.changed],
             )
 
-    def _refresh(self):
-        """Rebuild the look-up tables after a change."""
+    def _refresh(self, result):
+        """Bring the look-up tables up to date."""
         configuration = self._configuration
-        if configuration.generation == self._generation:
-            return
-        self._generation = configuration.generation
-        self._key_ring = keys.KeyRing.from_workspaces(configuration.workspaces)
-        self._route_table = routes.RouteTable(configuration.routes)
+        collect = configuration_module.collect_names
+        self._key_ring.refresh(
+            configuration.workspaces, collect([result], 'workspaces')
+        )
+        self._route_table.refresh(
+            configuration.routes, collect([result], 'routes')
+        )
--- a/lavenderstile/daemon.py
+++ b/lavenderstile/daemon.py
@@ -11,6 +11,7 @@
 
 from . import __version__
 from . import admin
+from . import admin_answers
 from . import claim_client
 from . import clocks
 from . import configuration as configuration_module
@@ -174,6 +175,12 @@
         """Begin a planned stop."""
         self._shutdown.request_stop()
 
+    def describe_configuration(self):
+        """Return what is in force, without any key digest."""
+        return admin_answers.describe_configuration(
+            self.configuration, self._configuration_task.key_ring
+        )
+
     def explain_target(self, service, target):
         """Return sentences on a target, or None if not known here."""
         return self._owner.explain_target(service, target)
@@ -188,7 +195,14 @@
             'shutdown': self._shutdown.state,
             'active_requests': self._entry.active,
             'membership': self.membership.dump(now),
-            'configuration': admin.dump_configuration(self.configuration),
+            'configuration': {
+                'newest': self.configuration.newest,
+                'digest': self.configuration.digest.hex(),
+                'objects': len(self.configuration.versions),
+                'in_force_s': self._ages.get_age(
+                    self.configuration.digest, now
+                ),
+            },
             'configuration_service': {
                 'revision': self._reader.revision,
                 'calls': self._reader.calls,
--- a/lavenderstile/peer_exchange.py
+++ b/lavenderstile/peer_exchange.py
@@ -190,7 +190,7 @@
     async def _fetch(self, endpoint):
         try:
             request = peer_pb2.TicketsRequest(
-                known=list(self._configuration.tickets)
+                known=self._configuration_task.known_digests
             )
             reply = await self._host.clients.call(
                 endpoint, 'Tickets', request, peers.TICKETS_TIMEOUT_S
