--- a/tests/measure/rate_run.py
+++ b/tests/measure/rate_run.py
@@ -14,6 +14,8 @@
 from . import sizes
 
 LOSS = 0.01
+# Age of a configuration that is in force everywhere.
+SETTLED_S = 3600.0
 CALL_TIMEOUT_S = 0.5
 EXCHANGE_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.1
@@ -48,7 +50,8 @@
         self.denied_until = collections.Counter()
         fleet = configuration.fleet
         shares = rights.share_rates(configuration.workspaces.values(), fleet)
-        self.lender.set_rights(shares, frozenset(), now)
+        # The configuration has been in force for long.
+        self.lender.set_rights(shares, frozenset(), now, SETTLED_S)
 
     def report(self, now):
         """Return what the process says of itself in an exchange."""
@@ -59,7 +62,7 @@
 
     def lend(self, request, now):
         """Answer a borrower."""
-        owned = self.ownership.owned_by(request.borrower, now)
+        owned = self.ownership.lent_to(request.borrower, now)
         return self.lender.grant(request, *owned, now)
 
     def lend_to_self(self, now):
@@ -233,24 +236,28 @@
         elif self.processes[host].denied_until[workspace] > now:
             finish(False)
         else:
-            self._take(host, workspace, now + DEADLINE_S, 0, finish)
+            self._take(host, workspace, now + DEADLINE_S, [], [], finish)
 
-    def _take(self, host, workspace, deadline, asked, finish):
-        """Ask the candidates in turn, then wait and ask them again."""
+    def _take(self, host, workspace, deadline, asked, denials, finish):
+        """Ask the hosts in turn; without an answer wait and ask again."""
         now = self.engine.now
         process = self.processes[host]
         if process is None or now >= deadline:
             finish(False)
             return
-        item = ownership.workspace_item(workspace)
-        candidates = process.ownership.candidates(item, now)[:2]
-        if asked >= len(candidates):
-            self.engine.after(
-                RETRY_DELAY_S, self._take, host, workspace, deadline, 0, finish
-            )
+        peers = process.ownership.list_token_hosts(workspace, now)
+        peers = [peer for peer in peers if peer not in asked]
+        if not peers and denials:
+            until = now + min(*denials, MAX_HINT_S)
+            process.denied_until[workspace] = until
+            finish(False)
+            return
+        if not peers:
+            again = (host, workspace, deadline, [], [], finish)
+            self.engine.after(RETRY_DELAY_S, self._take, *again)
             return
-        peer = candidates[asked]
-        again = (host, workspace, deadline, asked + 1, finish)
+        peer = peers[0]
+        again = (host, workspace, deadline, [*asked, peer], denials, finish)
         if peer == host:
             self._decide(peer, workspace, again)
         elif self._passes(host, peer) and self._passes(peer, host):
@@ -261,7 +268,7 @@
             self.engine.after(CALL_TIMEOUT_S, self._take, *again)
 
     def _decide(self, peer, workspace, again):
-        host, *_, finish = again
+        *_, denials, finish = again
         now = self.engine.now
         result = messages.NoRights()
         if self.processes[peer] is not None:
@@ -269,13 +276,10 @@
         match result:
             case messages.Taken():
                 finish(True)
+                return
             case messages.Denied(retry_after_s):
-                if self.processes[host] is not None:
-                    until = now + min(retry_after_s, MAX_HINT_S)
-                    self.processes[host].denied_until[workspace] = until
-                finish(False)
-            case _:
-                self.engine.after(self.deployment.delay_s, self._take, *again)
+                denials.append(retry_after_s)
+        self.engine.after(self.deployment.delay_s, self._take, *again)
 
     def results(self):
         """Return the figures of the run."""
