Be ready only with the state of a ready peer

Cause: a starting host was ready after any peer's answer or, if the answer of the configuration service came first, with the state of the service alone, which may be stale; the fetch from the peer could still be running.

Change: a host is ready once it has everything that a ready peer has in force. A host that reaches the service but no listed peer for 10 s leaves the balancer.

Before: test_a_stale_service_is_not_enough_beside_a_ready_peer found the host ready at once. After: it waits for the peer's state.

--- a/lavenderstile/daemon.py
+++ b/lavenderstile/daemon.py
@@ -140,7 +140,9 @@
             self._ages,
         )
         self._exchanges.set_sources(
-            self._slots.running_reports, lambda: self.readiness.may_own
+            self._slots.running_reports,
+            lambda: self.readiness.may_own,
+            self.readiness.record_synchronized,
         )
         self._owner.set_running_source(self._slots.own_running)
         self._probes = probe_task.ProbeTask(
--- a/lavenderstile/peer_exchange.py
+++ b/lavenderstile/peer_exchange.py
@@ -33,15 +33,17 @@
         self._fetching = set()
         self._running_grants = tuple
         self._is_ready = bool
+        self._on_synchronized = bool
 
     def now(self):
         """Return the time on the host's clock."""
         return self._clock.now()
 
-    def set_sources(self, running_grants, is_ready):
-        """Set what lists running grants and tells readiness."""
+    def set_sources(self, running_grants, is_ready, on_synchronized):
+        """Set what lists running grants and tells and takes readiness."""
         self._running_grants = running_grants
         self._is_ready = is_ready
+        self._on_synchronized = on_synchronized
 
     async def run(self):
         """Keep one task per peer until cancelled."""
@@ -182,12 +184,14 @@
         """Fetch tickets from a peer whose configuration differs."""
         digest = message.configuration_digest
         self._ages.record(digest, message.in_force_s, self.now())
-        if digest == self._configuration.digest or endpoint in self._fetching:
-            return
-        self._fetching.add(endpoint)
-        self._host.spawn(self._fetch(endpoint))
-
-    async def _fetch(self, endpoint):
+        if digest == self._configuration.digest:
+            if message.ready:
+                self._on_synchronized()
+        elif endpoint not in self._fetching:
+            self._fetching.add(endpoint)
+            self._host.spawn(self._fetch(endpoint, message.ready))
+
+    async def _fetch(self, endpoint, ready):
         try:
             request = peer_pb2.TicketsRequest(
                 known=self._configuration_task.known_digests
@@ -197,6 +201,8 @@
             )
             for text in reply.texts:
                 await self._configuration_task.deliver(text, endpoint)
+            if ready:
+                self._on_synchronized()
         except errors.PeerError as error:
             eliot.log_message('ticket_fetch_failed', error=str(error))
         finally:
--- a/lavenderstile/readiness.py
+++ b/lavenderstile/readiness.py
@@ -5,6 +5,8 @@
 # A host without any contact cannot learn of withdrawn keys; it leaves the
 # balancer after this time.
 ALONE_LIMIT_S = 10.0
+# Within this time an exchange with each reachable peer has succeeded.
+START_WAIT_S = membership_module.ALIVE_WITHIN_S
 
 
 class Readiness:
@@ -18,7 +20,10 @@
         '_draining',
         '_introduced',
         '_membership',
+        '_peer_at',
         '_reader',
+        '_started_at',
+        '_synchronized',
     )
 
     def __init__(
@@ -34,7 +39,9 @@
         self._membership = membership
         self._configuration = configuration
         self._reader = reader
-        self._contact_at = clock.now()
+        self._contact_at = self._peer_at = clock.now()
+        self._started_at = clock.now()
+        self._synchronized = False
         self._introduced = False
         self._draining = False
 
@@ -51,33 +58,54 @@
         """Record contact; called a few times a second."""
         now = self._clock.now()
         if self._membership.has_contact(now):
-            self._contact_at = now
+            self._contact_at = self._peer_at = now
         read_at = self._reader.succeeded_at
         if read_at is not None:
             self._contact_at = max(self._contact_at, read_at)
         if not self._introduced:
             self._introduced = self._is_introduced(now)
 
+    def record_synchronized(self):
+        """Record that this host has all that a ready peer has in force."""
+        self._synchronized = True
+
     def _is_introduced(self, now):
         """Return whether the state in force is known to be current.
 
-        A peer's answer is: it has compared its configuration. The service
-        alone may be stale, so it counts only where no peer is known alive.
+        Only a ready peer proves it: the service may be stale, and so may
+        peers that have just started. Without any ready peer for the time
+        that an exchange with one would take, this host is among the first
+        of its fleet and begins with what it has.
         """
         if not self._configuration.newest:
             return False
-        if self._membership.has_contact(now):
+        if self._synchronized:
             return True
-        return self._reader.succeeded_at is not None and not self._has_peers()
+        if now - self._started_at < START_WAIT_S or self._has_ready_peer(now):
+            return False
+        read = self._reader.succeeded_at is not None
+        return read or self._membership.has_contact(now)
 
-    def _has_peers(self):
-        now = self._clock.now()
-        states = (
-            self._membership.state(address, now)
-            for address in self._membership.peers
+    def _has_ready_peer(self, now):
+        return any(
+            peer.ready
+            and self._membership.state(address, now)
+            is not membership_module.PeerState.DEAD
+            for address, peer in self._membership.peers.items()
         )
+
+    @property
+    def isolated(self):
+        """Whether no peer answers, though the platform lists some.
+
+        Such a host has only its own part of each rate and few slots, so
+        that it would refuse requests which the other hosts can serve.
+        """
+        if self._clock.now() - self._peer_at <= self._alone_limit_s:
+            return False
         return any(
-            state is not membership_module.PeerState.DEAD for state in states
+            peer.listed_at is not None and not peer.leaving
+            for peer in self._membership.peers.values()
         )
 
     @property
@@ -93,9 +121,11 @@
         if not self._configuration.newest:
             found.append('no configuration is in force')
         elif not self._introduced:
-            found.append('neither a peer nor the service confirmed the state')
+            found.append('no ready peer has confirmed the state yet')
         if self.alone:
             found.append('alone: neither a peer nor the service answers')
+        elif self.isolated:
+            found.append('isolated: no peer answers, but some are listed')
         return found
 
     @property
--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,150 @@
+"""Tests of readiness."""
+
+import types
+import unittest
+
+from lavenderstile import clocks
+from lavenderstile import membership
+from lavenderstile import readiness
+
+PEER = '127.0.0.2'
+ENDPOINT = f'{PEER}:7001'
+
+
+class ReadinessTestCase(unittest.TestCase):
+    """A host that knows one peer from the platform's list."""
+
+    def setUp(self):
+        self.clock = clocks.VirtualClock()
+        self.membership = membership.Membership('127.0.0.1', 'north', 1)
+        self.configuration = types.SimpleNamespace(newest=0)
+        self.reader = types.SimpleNamespace(succeeded_at=None)
+        self.readiness = readiness.Readiness(
+            self.clock, self.membership, self.configuration, self.reader
+        )
+
+    def hear_peer(self, ready=True):
+        """Complete an exchange with the peer."""
+        now = self.clock.now()
+        self.membership.record_listing({PEER: (ENDPOINT, False)}, now)
+        report = membership.PeerReport(PEER, ENDPOINT, 'north', 1, ready=ready)
+        self.membership.record_success(report, now)
+        self.readiness.update()
+
+    def read_service(self):
+        """Read the configuration service."""
+        self.reader.succeeded_at = self.clock.now()
+        self.readiness.update()
+
+    def pass_time(self, seconds):
+        """Let time pass."""
+        self.clock.advance(seconds)
+        self.readiness.update()
+
+
+class StartTest(ReadinessTestCase):
+    """Guards against a host that serves an older state than its peers."""
+
+    def setUp(self):
+        super().setUp()
+        self.configuration.newest = 3
+
+    def test_not_ready_without_a_configuration(self):
+        self.configuration.newest = 0
+        self.hear_peer()
+        self.readiness.record_synchronized()
+        self.pass_time(60.0)
+        self.assertFalse(self.readiness.ready)
+
+    def test_ready_once_it_has_what_a_ready_peer_has(self):
+        self.hear_peer()
+        self.assertFalse(self.readiness.ready)
+        self.readiness.record_synchronized()
+        self.readiness.update()
+        self.assertTrue(self.readiness.ready)
+
+    def test_a_stale_service_is_not_enough_beside_a_ready_peer(self):
+        """The service answers first, with an older state than the peer."""
+        self.read_service()
+        self.assertFalse(self.readiness.ready)
+        for _ in range(5):
+            self.hear_peer()
+            self.pass_time(1.0)
+            self.read_service()
+            self.assertFalse(self.readiness.ready)
+
+    def test_a_ready_peer_that_only_others_hear_counts_too(self):
+        self.hear_peer()
+        other = membership.PeerReport(
+            '127.0.0.3',
+            '127.0.0.3:7001',
+            'north',
+            1,
+            ready=False,
+            heard=(PEER,),
+        )
+        for _ in range(6):
+            self.pass_time(1.0)
+            self.membership.record_success(other, self.clock.now())
+            self.read_service()
+        self.assertFalse(self.readiness.ready)
+
+    def test_the_first_hosts_of_a_fleet_begin_after_a_wait(self):
+        """Else all hosts of a new fleet would wait for each other."""
+        self.hear_peer(ready=False)
+        self.assertFalse(self.readiness.ready)
+        self.pass_time(readiness.START_WAIT_S)
+        self.hear_peer(ready=False)
+        self.assertTrue(self.readiness.ready)
+
+    def test_the_service_is_enough_for_the_only_host(self):
+        self.pass_time(readiness.START_WAIT_S)
+        self.assertFalse(self.readiness.ready)
+        self.read_service()
+        self.assertTrue(self.readiness.ready)
+
+
+class ContactTest(ReadinessTestCase):
+    """Guards against hosts that miss withdrawn keys, and lost fleets."""
+
+    def setUp(self):
+        super().setUp()
+        self.configuration.newest = 3
+        self.readiness.record_synchronized()
+        self.hear_peer()
+
+    def test_the_service_away_changes_nothing(self):
+        for _ in range(60):
+            self.pass_time(60.0)
+            self.hear_peer()
+        self.assertTrue(self.readiness.ready)
+
+    def test_alone_after_ten_seconds_without_any_contact(self):
+        self.pass_time(10.0)
+        self.assertFalse(self.readiness.alone)
+        self.pass_time(4.0)
+        self.assertTrue(self.readiness.alone)
+        self.assertFalse(self.readiness.ready)
+
+    def test_isolated_hosts_leave_the_balancer_but_serve(self):
+        for _ in range(15):
+            self.pass_time(1.0)
+            self.read_service()
+        self.assertFalse(self.readiness.alone)
+        self.assertFalse(self.readiness.ready)
+        self.assertIn('isolated', self.readiness.reasons()[0])
+
+    def test_ready_again_after_contact(self):
+        self.pass_time(20.0)
+        self.hear_peer()
+        self.assertTrue(self.readiness.ready)
+
+    def test_a_long_pause_counts_as_no_contact(self):
+        """The process wakes and has not yet heard of any change."""
+        self.clock.advance(20.0)
+        self.assertTrue(self.readiness.alone)
+
+    def test_draining_hosts_are_not_ready_and_own_nothing(self):
+        self.readiness.start_draining()
+        self.assertFalse(self.readiness.ready)
+        self.assertFalse(self.readiness.may_own)
