Hand tokens over at a change of owner and make renewals cheap

Cause: when a lender sees another owner, its right is unused until the former owner acknowledges this at its next exchange and the new owner asks, and the tokens are lost. Renewals compared every right with the lease.

Lenders and borrowers skip work when nothing changed. Borrowers forget leases 600 s after their end, since addresses change over months.

A borrower that keeps the tokens it returns is found by the oracle (hand_over: tokens too many).

--- a/lavenderstile/messages.py
+++ b/lavenderstile/messages.py
@@ -33,12 +33,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BorrowRequest:
-    """A borrower asks a lender for the rights of what it owns."""
+    """A borrower asks a lender for the rights of what it owns.
+
+    `returned` are the unspent tokens of rights that the known version took
+    away from the borrower.
+    """
 
     borrower: str
     incarnation: int
     known_lease: int = 0
     known_version: int = 0
+    returned: tuple[RateItem, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lavenderstile/rates.py
+++ b/lavenderstile/rates.py
@@ -145,10 +145,18 @@
         self._bucket.put(tokens_micro)
 
     def remove_share(self, lender, now):
-        """Drop a lender's share; capacity and level shrink at once."""
+        """Drop a lender's share and return its part of the tokens.
+
+        Capacity and level shrink at once.
+        """
         self.settle(now)
-        if self._shares.pop(lender, None) is not None:
-            self._resize()
+        share = self._shares.pop(lender, None)
+        if share is None:
+            return 0
+        tokens_micro = self._find_part(share, self._bucket.level_micro)
+        self._bucket.remove(tokens_micro)
+        self._resize()
+        return tokens_micro
 
     def take(self, now):
         """Take one token."""
@@ -173,17 +181,19 @@
         larger than what its lender's own bucket can hold.
         """
         self.settle(now)
-        capacity_micro = self._bucket.capacity_micro
-        level_micro = self._bucket.drain()
+        level_micro = self._bucket.level_micro
+        self._bucket.drain()
         return {
-            lender: (
-                level_micro * share.burst_micro // capacity_micro
-                if capacity_micro
-                else 0
-            )
+            lender: self._find_part(share, level_micro)
             for lender, share in self._shares.items()
         }
 
+    def _find_part(self, share, level_micro):
+        capacity_micro = self._bucket.capacity_micro
+        if not capacity_micro:
+            return 0
+        return level_micro * share.burst_micro // capacity_micro
+
     def _drop_ended(self, now):
         ended = [
             (share.lease.until, lender)
--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -30,6 +30,11 @@
 MAX_OWNERS = 4
 OWNER_BURST = 12
 
+# How long a borrower remembers a lease that has ended. It must be longer than
+# any request can take to arrive: one that arrives later renews the lease, and
+# its tokens would be counted again.
+LEASE_MEMORY_S = 600.0
+
 # Shares are pairs of rate and burst in millionths.
 NO_SHARE = (0, 0)
 # Share of a slot unit that is homed here, in the form of a rate's share.
@@ -193,11 +198,13 @@
     """A lease as its lender knows it.
 
     `removed` maps each right that left the list, but that the borrower may
-    still use, to the version that left it out.
+    still use, to the version that left it out. `basis` is what `items` were
+    made from.
     """
 
     __slots__ = (
         'acknowledged',
+        'basis',
         'borrower',
         'incarnation',
         'items',
@@ -213,6 +220,7 @@
         self.lease_id = lease_id
         self.version = 1
         self.acknowledged = 0
+        self.basis = None
         self.items = {}
         self.removed = {}
         self.until = 0.0
@@ -230,7 +238,9 @@
 
     __slots__ = (
         '_address',
+        '_changes',
         '_ended',
+        '_grow_at',
         '_last_lease_id',
         '_leases',
         '_quarantine_until',
@@ -243,6 +253,10 @@
         # before it ended.
         self._quarantine_until = now + LENDER_HOLD_S
         self._rights = {}
+        # Number of changes of rights that can change the items of a lease;
+        # without one, a renewal does not look at every right.
+        self._changes = 0
+        self._grow_at = float('inf')
         self._leases = {}
         # Leases of earlier incarnations of borrowers, until their end.
         self._ended = []
@@ -267,6 +281,8 @@
         )
         for key in [*wanted, *(self._rights.keys() - wanted.keys())]:
             self._set_right(key, wanted.get(key, NO_SHARE), grow_at, now)
+        self._plan_growth()
+        self._changes += 1
         self._settle(now)
 
     def grant(self, request, owned_workspaces, owned_services, now):
@@ -276,7 +292,7 @@
         if lease is None:
             return NO_GRANT
         if request.known_lease == lease.lease_id:
-            self._acknowledge(lease, request.known_version, now)
+            self._acknowledge(lease, request, now)
         self._update_items(lease, owned_workspaces, owned_services, now)
         lease.until = now + LENDER_HOLD_S
         known = (request.known_lease, request.known_version)
@@ -302,6 +318,7 @@
         }
         for key in lease.holds():
             self._rights[key].come_home(now, tokens.get(key, 0))
+        self._changes += 1
         self._drop_gone()
 
     def dump(self, now):
@@ -370,16 +387,35 @@
             right.growth.at = min(right.growth.at, grow_at)
 
     def _settle(self, now):
+        changes = self._changes
         for lease in [*self._leases.values(), *self._ended]:
             if lease.until <= now:
                 self._forget_lease(lease)
                 for key in lease.holds():
                     self._rights[key].come_home(lease.until, 0)
+                self._changes += 1
+        if self._grow_at <= now:
+            self._grow(now)
+        if self._changes != changes:
+            self._drop_gone()
+
+    def _grow(self, now):
         for right in self._rights.values():
             if right.growth is not None and right.growth.at <= now:
                 right.set_share(right.growth.share, right.growth.at)
                 right.growth = None
-        self._drop_gone()
+        self._plan_growth()
+        self._changes += 1
+
+    def _plan_growth(self):
+        self._grow_at = min(
+            (
+                right.growth.at
+                for right in self._rights.values()
+                if right.growth is not None
+            ),
+            default=float('inf'),
+        )
 
     def _drop_gone(self):
         gone = [key for key, right in self._rights.items() if right.is_gone]
@@ -422,8 +458,13 @@
         else:
             self._ended.remove(lease)
 
-    def _acknowledge(self, lease, version, now):
-        lease.acknowledged = max(lease.acknowledged, version)
+    def _acknowledge(self, lease, request, now):
+        # A right that is still to be freed was taken away by a version that
+        # no earlier request knew, so the returned tokens are not old ones.
+        tokens = {
+            item.workspace: item.tokens_micro for item in request.returned
+        }
+        lease.acknowledged = max(lease.acknowledged, request.known_version)
         stopped = [
             key
             for key, removed_in in lease.removed.items()
@@ -431,9 +472,16 @@
         ]
         for key in stopped:
             del lease.removed[key]
-            self._rights[key].come_home(now, 0)
+            self._rights[key].come_home(now, tokens.get(key, 0))
+        if stopped:
+            self._changes += 1
+            self._drop_gone()
 
     def _update_items(self, lease, owned_workspaces, owned_services, now):
+        basis = (self._changes, owned_workspaces, owned_services)
+        if basis == lease.basis:
+            return
+        lease.basis = basis
         items = {}
         for key, right in self._rights.items():
             if right.share == NO_SHARE:
@@ -469,6 +517,8 @@
         'is_active',
         'items',
         'lease_id',
+        'returned',
+        'returned_at',
         'until',
         'version',
     )
@@ -478,6 +528,9 @@
         self.lease_id = lease_id
         self.version = 0
         self.items = {}
+        # Tokens of the rights that the present version took away.
+        self.returned = ()
+        self.returned_at = 0.0
         self.until = float('-inf')
         self.is_active = False
 
@@ -487,6 +540,7 @@
 
     __slots__ = (
         '_address',
+        '_check_at',
         '_holdings',
         '_incarnation',
         '_is_stopped',
@@ -498,6 +552,8 @@
         self._address = address
         self._incarnation = incarnation
         self._holdings = {}
+        # No lease ends before this time; renewals only postpone ends.
+        self._check_at = float('inf')
         self._pools = {}
         # Sets of usable units by service, with the end of their validity.
         self._units = {}
@@ -513,31 +569,39 @@
             self._incarnation,
             holding.lease_id,
             holding.version,
+            holding.returned,
         )
 
     def accept(self, lender, lender_incarnation, sent_at, grant, now):
         """Take over a grant; the request for it left at `sent_at`.
 
-        Outdated and repeated grants change nothing.
+        Outdated and repeated grants change nothing. Return whether the
+        lender waits for the acknowledgement of rights taken away; the next
+        request is better sent at once then.
         """
         until = sent_at + grant.duration_s
         if self._is_stopped or not grant.lease_id or until <= now:
-            return
+            return False
         self._drop_ended(now)
         holding = self._find_holding(lender, lender_incarnation, grant, now)
         if holding is None or grant.version < holding.version:
-            return
+            return False
         if grant.version > holding.version and grant.items is None:
-            return
+            return False
         holding.until = max(holding.until, until)
+        if sent_at > holding.returned_at:
+            holding.returned = ()
+        is_reduced = False
         if grant.version > holding.version:
-            self._replace_items(lender, holding, grant, now)
+            is_reduced = self._replace_items(lender, holding, grant, now)
         elif not holding.is_active:
             # The lender kept the lease while our side had ended it; the
             # tokens were dropped at that end.
             for item in holding.items.values():
                 self._add_item(lender, holding, item, 0, now)
         holding.is_active = True
+        self._check_at = min(self._check_at, holding.until)
+        return is_reduced
 
     def take_token(self, workspace, now):
         """Take one token of a workspace's rate."""
@@ -647,13 +711,27 @@
         ]
 
     def _drop_ended(self, now):
-        for holding in self._holdings.values():
-            if holding.is_active and holding.until <= now:
+        if now < self._check_at:
+            return
+        forgotten = []
+        for lender, holding in self._holdings.items():
+            if holding.until <= now:
                 holding.is_active = False
+            if holding.until <= now - LEASE_MEMORY_S:
+                forgotten.append(lender)
+        for lender in forgotten:
+            del self._holdings[lender]
         for pool in self._pools.values():
             if pool.has_ended(now):
                 pool.settle(now)
         self._drop_empty_pools()
+        self._check_at = min(
+            (
+                holding.until + (0 if holding.is_active else LEASE_MEMORY_S)
+                for holding in self._holdings.values()
+            ),
+            default=float('inf'),
+        )
 
     def _drop_empty_pools(self):
         empty = [
@@ -687,9 +765,9 @@
             else item: item
             for item in grant.items
         }
-        for key in holding.items.keys() - items.keys():
-            if key in self._pools:
-                self._pools[key].remove_share(lender, now)
+        dropped = holding.items.keys() - items.keys()
+        holding.returned = self._remove_shares(lender, holding, dropped, now)
+        holding.returned_at = now
         for key, item in items.items():
             tokens_micro = 0
             if isinstance(key, str) and key not in holding.items:
@@ -699,6 +777,17 @@
         holding.version = grant.version
         self._units.clear()
         self._drop_empty_pools()
+        return bool(dropped)
+
+    def _remove_shares(self, lender, holding, keys, now):
+        return tuple(
+            dataclasses.replace(
+                holding.items[key],
+                tokens_micro=self._pools[key].remove_share(lender, now),
+            )
+            for key in keys
+            if key in self._pools
+        )
 
     def _add_item(self, lender, holding, item, tokens_micro, now):
         if not isinstance(item, messages.RateItem):
