Hold rights back where a list of addresses may have been missed

Cause: a host that skips a list, because it was paused or because two lists follow each other quickly, keeps the shares that the skipped list had moved to another host. Homes of idempotency keys have the same fault after a pause.

Change: larger shares under a new list wait for 10 s from its publishing (8.3 s before), and a lender that was not called for 4 s holds all rights back for 10 s. Under the same list nothing moves between hosts, so larger shares now apply at once (8.3 s before): set_rights takes fleet_version. ClaimHome.hold_back does the same for claims after a pause.

Conclusion: a raised limit and new targets apply without delay, and only a change of the list of addresses takes 10 s.

--- a/lavenderstile/claims.py
+++ b/lavenderstile/claims.py
@@ -143,6 +143,14 @@
         self._fleet_version = version
         self._fleet_since_unix = since_unix
 
+    def hold_back(self, now_unix):
+        """Note that a list of addresses may have been missed in a pause.
+
+        Keys that ran meanwhile under that list are not granted here. The
+        next call of `set_fleet` need not name another version.
+        """
+        self._fleet_since_unix = now_unix
+
     def set_window(self, window_s):
         """Note the window in force."""
         self._window_s = window_s
--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -20,9 +20,16 @@
 LENDER_HOLD_S = 3.3
 # Stated limit for a configuration change to be in force on every host.
 SPREAD_LIMIT_S = 5.0
-# A larger share waits until the hosts whose shares get smaller know of the
-# change and the leases that they granted before have ended.
-GROWTH_DELAY_S = SPREAD_LIMIT_S + LENDER_HOLD_S
+# A larger share under a new list of addresses waits from its publishing on
+# until the hosts whose shares get smaller know of it and the leases that they
+# granted before have ended (`SPREAD_LIMIT_S + LENDER_HOLD_S`). It waits
+# somewhat longer, so that a list that was replaced before some hosts learned
+# it is replaced here, too, before its larger shares apply.
+GROWTH_DELAY_S = 2 * SPREAD_LIMIT_S
+# A lender that was not called for this long, while it is called every second
+# otherwise, may have missed a list. It is less than `SPREAD_LIMIT_S` by more
+# than the drift of clocks.
+MISSED_CHANGE_S = 4.0
 
 # Most pools of one workspace, and the least burst for each. With four pools
 # an owner's death refuses less than a tenth of what it refuses with one. A
@@ -106,24 +113,17 @@
     return hashing.top(f'{workspace.name}\0{address}', owners)
 
 
-class _Growth:
-    """A larger share that applies at `at`."""
-
-    __slots__ = ('at', 'share')
-
-    def __init__(self, at, share):
-        self.at = at
-        self.share = share
-
-
 class _LentRate:
-    """A workspace's right at its lender; `lease` is None at home."""
+    """A workspace's right at its lender; `lease` is None at home.
 
-    __slots__ = ('bucket', 'growth', 'lease', 'moved_micro', 'share')
+    `wanted` is the configured share, `share` the part of it that applies.
+    """
+
+    __slots__ = ('bucket', 'lease', 'moved_micro', 'share', 'wanted')
 
     def __init__(self, now):
         self.share = NO_SHARE
-        self.growth = None
+        self.wanted = NO_SHARE
         self.lease = None
         self.bucket = rates.Bucket(now)
         self.moved_micro = 0
@@ -131,8 +131,7 @@
     @property
     def is_gone(self):
         """Whether nothing is left of the right, now or later."""
-        no_share = self.share == NO_SHARE and self.growth is None
-        return no_share and self.lease is None
+        return self.share == self.wanted == NO_SHARE and self.lease is None
 
     def lend(self, lease, now):
         """Move the right and its tokens to a lease."""
@@ -162,20 +161,19 @@
 
 
 class _LentUnit:
-    """A slot unit at its lender; `lease` is None at home."""
+    """A slot unit at its lender, like `_LentRate`."""
 
-    __slots__ = ('growth', 'lease', 'share')
+    __slots__ = ('lease', 'share', 'wanted')
 
     def __init__(self, _now):
         self.share = NO_SHARE
-        self.growth = None
+        self.wanted = NO_SHARE
         self.lease = None
 
     @property
     def is_gone(self):
         """Whether nothing is left of the right, now or later."""
-        no_share = self.share == NO_SHARE and self.growth is None
-        return no_share and self.lease is None
+        return self.share == self.wanted == NO_SHARE and self.lease is None
 
     def lend(self, lease, _now):
         """Move the unit to a lease."""
@@ -240,11 +238,14 @@
         '_address',
         '_changes',
         '_ended',
-        '_grow_at',
+        '_fleet_version',
+        '_grow_from',
+        '_is_growing',
         '_last_lease_id',
         '_leases',
         '_quarantine_until',
         '_rights',
+        '_settled_at',
     )
 
     def __init__(self, address, now):
@@ -256,7 +257,11 @@
         # Number of changes of rights that can change the items of a lease;
         # without one, a renewal does not look at every right.
         self._changes = 0
-        self._grow_at = float('inf')
+        self._fleet_version = None
+        # Time from which larger shares apply, and whether some wait for it.
+        self._grow_from = now + GROWTH_DELAY_S
+        self._is_growing = False
+        self._settled_at = now
         self._leases = {}
         # Leases of earlier incarnations of borrowers, until their end.
         self._ended = []
@@ -265,23 +270,32 @@
         seed = f'{address}\0{now!r}'.encode()
         self._last_lease_id = xxhash.xxh3_64_intdigest(seed) >> 1
 
-    def set_rights(self, shares, units, now, in_force_s=0.0):
+    def set_rights(
+        self, shares, units, now, in_force_s=0.0, fleet_version=None
+    ):
         """Set this host's shares of the rates and its slot units.
 
-        Smaller shares apply at once, larger ones `GROWTH_DELAY_S` after the
-        change was published. `in_force_s` is for how long at least the
-        change is known to have been published, for example because a peer
-        has had it for that time.
+        Smaller shares apply at once. Larger ones do if the published list
+        of addresses is the same as before: nothing moves from host to host
+        then. Under a new list they apply `GROWTH_DELAY_S` after it was
+        published. `fleet_version` names the list; it differs for each
+        change, also for one that restores an earlier list, and None stands
+        for a new one. `in_force_s` is for how long at least the list is
+        known to have been published, for example because a peer that now
+        has it in force has had it for that time.
         """
         self._settle(now)
-        wanted = dict(shares)
-        wanted.update(dict.fromkeys(sorted(units), UNIT_SHARE))
-        grow_at = max(
+        grow_from = max(
             now + GROWTH_DELAY_S - in_force_s, self._quarantine_until
         )
+        if fleet_version is not None and fleet_version == self._fleet_version:
+            grow_from = min(grow_from, self._grow_from)
+        self._fleet_version = fleet_version
+        self._grow_from = grow_from
+        wanted = dict(shares)
+        wanted.update(dict.fromkeys(sorted(units), UNIT_SHARE))
         for key in [*wanted, *(self._rights.keys() - wanted.keys())]:
-            self._set_right(key, wanted.get(key, NO_SHARE), grow_at, now)
-        self._plan_growth()
+            self._set_right(key, wanted.get(key, NO_SHARE), now)
         self._changes += 1
         self._settle(now)
 
@@ -351,7 +365,7 @@
             'burst_micro': burst_micro,
             'tokens_micro': right.bucket.level_micro,
             'lent_to': right.lease and right.lease.borrower,
-            'growing': right.growth is not None,
+            'growing': right.share != right.wanted,
         }
 
     def _dump_lease(self, lease, now):
@@ -366,25 +380,17 @@
             'held_s': lease.until - now,
         }
 
-    def _set_right(self, key, share, grow_at, now):
+    def _set_right(self, key, wanted, now):
         right = self._rights.get(key)
         if right is None:
             kind = _LentRate if isinstance(key, str) else _LentUnit
             right = self._rights[key] = kind(now)
-        smaller = tuple(map(min, right.share, share))
+        right.wanted = wanted
+        smaller = tuple(map(min, right.share, wanted))
         if smaller != right.share:
             right.set_share(smaller, now)
-        if share == smaller:
-            right.growth = None
-        elif right.growth is None or any(
-            new > old
-            for new, old in zip(share, right.growth.share, strict=True)
-        ):
-            right.growth = _Growth(grow_at, share)
-        else:
-            # No more than what was to come: the time since then counts.
-            right.growth.share = share
-            right.growth.at = min(right.growth.at, grow_at)
+        if wanted != smaller:
+            self._is_growing = True
 
     def _settle(self, now):
         changes = self._changes
@@ -394,28 +400,30 @@
                 for key in lease.holds():
                     self._rights[key].come_home(lease.until, 0)
                 self._changes += 1
-        if self._grow_at <= now:
+        if now - self._settled_at > MISSED_CHANGE_S:
+            self._hold_back(now)
+        self._settled_at = max(self._settled_at, now)
+        if self._is_growing and self._grow_from <= now:
             self._grow(now)
         if self._changes != changes:
             self._drop_gone()
 
-    def _grow(self, now):
+    def _hold_back(self, now):
+        # A list that was in force meanwhile may have moved the rights to
+        # other hosts, even if they belong here again.
         for right in self._rights.values():
-            if right.growth is not None and right.growth.at <= now:
-                right.set_share(right.growth.share, right.growth.at)
-                right.growth = None
-        self._plan_growth()
+            right.set_share(NO_SHARE, now)
+        self._fleet_version = None
+        self._grow_from = now + GROWTH_DELAY_S
+        self._is_growing = True
         self._changes += 1
 
-    def _plan_growth(self):
-        self._grow_at = min(
-            (
-                right.growth.at
-                for right in self._rights.values()
-                if right.growth is not None
-            ),
-            default=float('inf'),
-        )
+    def _grow(self, now):
+        for right in self._rights.values():
+            if right.share != right.wanted:
+                right.set_share(right.wanted, now)
+        self._is_growing = False
+        self._changes += 1
 
     def _drop_gone(self):
         gone = [key for key, right in self._rights.items() if right.is_gone]
--- a/tests/standins/claim_fleet.py
+++ b/tests/standins/claim_fleet.py
@@ -128,6 +128,10 @@
         host.plan = plan or self.plans[-1]
         host.home.set_fleet(self._name_version(host.plan), host.unix())
 
+    def wake(self, host):
+        """End a pause of a host, which has heard of no change yet."""
+        host.home.hold_back(host.unix())
+
     def restart(self, host):
         """Start a process with an empty memory."""
         host.plan = self.plans[-1]
--- a/tests/standins/rights_fleet.py
+++ b/tests/standins/rights_fleet.py
@@ -160,6 +160,8 @@
             for number, clock_rate in enumerate(clock_rates)
         ]
         self.addresses = tuple(host.address for host in self.hosts)
+        # When the newest list of addresses was published; names it, too.
+        self._list_since = 0.0
         self.plans = [(0.0, Plan(rate, burst, self.addresses))]
         self.oracle = Oracle(self.clock.now(), rate, burst)
         self.in_flight = []
@@ -175,11 +177,13 @@
     def advance(self, seconds):
         """Move time; changes reach every running host within the limit."""
         end = self.clock.now() + seconds
-        for at in self._list_deadlines(end):
+        deadlines = self._list_deadlines(end)
+        for at in sorted([*deadlines, *self._list_ticks(end), end]):
             self.clock.advance(max(0.0, at - self.clock.now()))
-            self._learn_overdue()
-            self._update_limit()
-        self.clock.advance(max(0.0, end - self.clock.now()))
+            self._tick()
+            if at in deadlines:
+                self._learn_overdue()
+                self._update_limit()
 
     def publish(self, rate=None, burst=None, addresses=None):
         """Publish a change; hosts learn it by `learn` or in time."""
@@ -193,6 +197,8 @@
             )
             if value is not None
         }
+        if addresses is not None:
+            self._list_since = self.clock.now()
         plan = dataclasses.replace(plan, **changes)
         self.plans.append((self.clock.now(), plan))
         self._update_limit()
@@ -203,7 +209,19 @@
             return
         host.plan_index = len(self.plans) - 1
         shares, units = self.plans[-1][1].share(host.address)
-        host.process.lender.set_rights(shares, units, host.now(), in_force_s)
+        host.process.lender.set_rights(
+            shares, units, host.now(), in_force_s, self._list_since
+        )
+
+    def _list_ticks(self, end):
+        now = self.clock.now()
+        return [now + second for second in range(1, int(end - now) + 1)]
+
+    def _tick(self):
+        # A running daemon calls its lender every second.
+        for host in self.hosts:
+            if self.runs(host):
+                host.process.lender.dump(host.now())
 
     def _list_deadlines(self, end):
         times = {
@@ -246,7 +264,7 @@
         incarnation = host.process.incarnation + 1 if host.process else 1
         host.process = Process(host, incarnation, self)
         host.is_paused = False
-        self.learn(host, self.clock.now() - self.plans[-1][0])
+        self.learn(host, self.clock.now() - self._list_since)
 
     def restart(self, host):
         """Replace a host's process; the earlier one is dead."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -208,6 +208,12 @@
         self.home.set_fleet('g', NOW)
         self.assertEqual(self.claim(fleet='g'), UNKNOWN)
 
+    def test_home_that_was_paused_grants_only_younger_keys(self):
+        self.home.hold_back(NOW)
+        self.assertEqual(self.claim(), UNKNOWN)
+        later = NOW + claims.FLEET_MARGIN_S + 0.1
+        self.assertEqual(self.claim(later, created=later), GRANTED)
+
     def test_repeated_fleet_changes_nothing(self):
         self.home.set_fleet('f', NOW)
         self.assertEqual(self.claim(), GRANTED)
--- a/tests/test_claims_fleet.py
+++ b/tests/test_claims_fleet.py
@@ -197,6 +197,20 @@
     fleet.try_at_once(outdated, key)
 
 
+def wake_together(fleet):
+    """A host and two homes wake from a pause that hid a new list."""
+    entry, outdated = fleet.hosts[0], fleet.hosts[3]
+    paused = fleet.hosts[2:4]
+    fleet.cut_off.update(paused)
+    fleet.publish((0, 1, 4))
+    fleet.advance(60)
+    key = fleet.make_key()
+    fleet.try_at_once(entry, key)
+    for host in paused:
+        fleet.wake(host)
+    fleet.try_at_once(outdated, key)
+
+
 def retry_elsewhere(fleet):
     """A key that ran comes again, and other homes are reachable."""
     entry, first, second, *_ = fleet.hosts
@@ -309,6 +323,13 @@
         return super().claim(request, now_unix)
 
 
+class UnawareHome(claims.ClaimHome):
+    """Does not care that it was paused."""
+
+    def hold_back(self, now_unix):
+        pass
+
+
 class OneMarginHome(claims.ClaimHome):
     """Allows for the skew of one clock and not for the change's spread."""
 
@@ -387,6 +408,7 @@
             change_at_start,
             restore_addresses,
             use_outdated_list,
+            wake_together,
             retry_elsewhere,
             race,
             wait_for_expiry,
@@ -401,6 +423,7 @@
     (NoMemoryCheckHome, make_fleet, restart_home),
     (NoFleetCheckHome, make_fleet, change_addresses),
     (AnyFleetHome, make_fleet, use_outdated_list),
+    (UnawareHome, make_fleet, wake_together),
     (OneMarginHome, make_early_fleet, restart_with_early_clock),
     (OneMarginHome, make_fleet, change_addresses_early),
     (EarlyExpiryHome, make_fleet, wait_for_expiry),
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -13,9 +13,14 @@
 FULL = 10.0
 
 
-def make_lender(units=frozenset(), start=0.0):
+def make_lender(units=frozenset(), start=0.0, until=FULL):
+    """Return a lender that was called every second up to `until`."""
     lender = rights.Lender('a', start)
-    lender.set_rights({'w': SHARE}, units, start, in_force_s=60.0)
+    lender.set_rights(
+        {'w': SHARE}, units, start, in_force_s=60.0, fleet_version='f'
+    )
+    for second in range(int(start), int(until)):
+        lender.dump(second)
     return lender
 
 
@@ -131,13 +136,13 @@
     """Guards against a restarted lender that lends what is still lent."""
 
     def test_nothing_is_lent_during_the_quarantine(self):
-        link = Link(make_lender(frozenset({UNIT})))
+        link = Link(make_lender(frozenset({UNIT}), until=3.0))
         link.exchange(3.2)
         self.assertEqual(link.borrower.workspaces(3.2), frozenset())
         self.assertEqual(link.borrower.units('orders', 3.2), frozenset())
 
     def test_bucket_is_empty_after_the_quarantine(self):
-        link = Link(make_lender(frozenset({UNIT})))
+        link = Link(make_lender(frozenset({UNIT}), until=3.0))
         link.exchange(3.3)
         self.assertEqual(link.borrower.workspaces(3.3), {'w'})
         self.assertEqual(link.borrower.units('orders', 3.3), {UNIT})
@@ -381,45 +386,88 @@
 class ShareChangeTest(unittest.TestCase):
     """Guards against limits exceeded while a change spreads."""
 
+    LARGER = {'w': (4 * MICRO, 12 * MICRO)}
+    OTHER = messages.SlotUnit('orders', '10.0.0.1:80', 1)
+
     def setUp(self):
         self.lender = make_lender(frozenset({UNIT}))
         self.link = Link(self.lender)
         self.link.exchange(FULL)
 
+    def set_rights(self, shares, units, now, version='f', in_force_s=0.0):
+        self.lender.set_rights(
+            shares, frozenset(units), now, in_force_s, version
+        )
+
+    def exchange_until(self, end):
+        """Exchange every second and just before `end`."""
+        for second in range(int(FULL) + 1, int(end)):
+            self.link.exchange(second)
+        self.link.exchange(end - 0.1)
+
+    def units(self, now):
+        return self.link.borrower.units('orders', now)
+
     def test_smaller_share_applies_at_once(self):
-        smaller = {'w': (MICRO, 2 * MICRO)}
-        self.lender.set_rights(smaller, frozenset(), FULL + 1)
+        self.set_rights({'w': (MICRO, 2 * MICRO)}, (), FULL + 1, 'g')
         self.link.exchange(FULL + 1)
         self.assertEqual(self.link.take_all(FULL + 1), 2)
-        self.assertEqual(
-            self.link.borrower.units('orders', FULL + 1), frozenset()
-        )
+        self.assertEqual(self.units(FULL + 1), frozenset())
+
+    def test_larger_share_applies_at_once_under_the_same_list(self):
+        # A raised limit or a new target must not wait: no right moves from
+        # host to host.
+        self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 1)
+        self.link.exchange(FULL + 1)
+        self.assertEqual(self.units(FULL + 1), {UNIT, self.OTHER})
+        self.link.take_all(FULL + 1)
+        self.assertEqual(self.link.take_all(FULL + 2), 4)
 
-    def test_larger_share_applies_after_the_delay(self):
-        larger = {'w': (4 * MICRO, 12 * MICRO)}
-        other = messages.SlotUnit('orders', '10.0.0.1:80', 1)
+    def test_larger_share_waits_under_a_new_list(self):
         at = FULL + 1 + rights.GROWTH_DELAY_S
-        self.lender.set_rights(larger, frozenset({UNIT, other}), FULL + 1)
-        for second in range(1, 9):
-            self.link.exchange(FULL + second)
-        self.link.exchange(at - 0.1)
+        self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 1, 'g')
+        self.exchange_until(at)
         self.assertEqual(self.link.take_all(at - 0.1), 6)
-        self.assertEqual(self.link.borrower.units('orders', at - 0.1), {UNIT})
+        self.assertEqual(self.units(at - 0.1), {UNIT})
         self.link.exchange(at)
-        self.assertEqual(self.link.borrower.units('orders', at), {UNIT, other})
+        self.assertEqual(self.units(at), {UNIT, self.OTHER})
         self.assertEqual(self.link.take_all(at + 1), 4)
 
-    def test_repeated_settings_do_not_postpone_growth(self):
-        larger = {'w': (4 * MICRO, 12 * MICRO)}
+    def test_list_without_a_version_is_a_new_one(self):
+        self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 1, None)
+        self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 2, None)
+        self.exchange_until(FULL + 1 + rights.GROWTH_DELAY_S)
+        self.link.exchange(FULL + 1 + rights.GROWTH_DELAY_S)
+        self.assertEqual(self.units(FULL + 1 + rights.GROWTH_DELAY_S), {UNIT})
+
+    def test_age_of_a_list_shortens_the_delay(self):
+        self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 1, 'g', 9.0)
+        self.link.exchange(FULL + 1.9)
+        self.assertEqual(self.units(FULL + 1.9), {UNIT})
+        self.link.exchange(FULL + 2)
+        self.assertEqual(self.units(FULL + 2), {UNIT, self.OTHER})
+
+    def test_other_changes_do_not_postpone_growth(self):
         at = FULL + 1 + rights.GROWTH_DELAY_S
-        for second in range(1, 9):
+        for second in range(1, 11):
             now = FULL + second
-            self.lender.set_rights(larger, frozenset({UNIT}), now)
+            self.set_rights(self.LARGER, {UNIT}, now, 'g')
             self.link.exchange(now)
         self.link.exchange(at)
         self.link.take_all(at)
         self.assertEqual(self.link.take_all(at + 1), 4)
 
+    def test_lender_that_was_paused_holds_its_rights_back(self):
+        # A list that it missed may have moved them to another host.
+        woken = FULL + 60
+        self.link.exchange(woken)
+        self.assertEqual(self.units(woken), frozenset())
+        for second in range(1, 10):
+            self.link.exchange(woken + second)
+        self.assertEqual(self.units(woken + 9), frozenset())
+        self.link.exchange(woken + rights.GROWTH_DELAY_S)
+        self.assertEqual(self.units(woken + rights.GROWTH_DELAY_S), {UNIT})
+
     def test_removed_workspace_leaves_no_state(self):
         self.lender.set_rights({}, frozenset(), FULL + 1)
         self.link.exchange(FULL + 1)
--- a/tests/test_rights_fleet.py
+++ b/tests/test_rights_fleet.py
@@ -359,6 +359,31 @@
     use_for(fleet, 7, [(joining, joining)])
 
 
+def miss_change(fleet):
+    """A pause hides a list of addresses from one of its hosts."""
+    owner, home, _ = fleet.hosts
+    fleet.pause(home)
+    isolate(owner, home)
+    fleet.publish(addresses=(owner.address,))
+    use_for(fleet, 20, [(owner, owner)])
+    fleet.publish(addresses=(home.address,))
+    fleet.resume(home)
+    use_for(fleet, 20, [(owner, owner), (home, home)])
+
+
+def skip_change(fleet):
+    """A host learns two lists at once, another one learns them late."""
+    _, owner, home = fleet.hosts
+    isolate(owner, home)
+    exchanges = [(owner, owner), (home, home)]
+    fleet.publish(addresses=(owner.address,))
+    fleet.learn(owner)
+    use_for(fleet, 4, exchanges)
+    fleet.publish(addresses=(home.address,))
+    fleet.learn(home)
+    use_for(fleet, 20, exchanges)
+
+
 def wake_after_pause(fleet):
     """An owner wakes after its leases have ended."""
     owner, lender, other = fleet.hosts
@@ -453,6 +478,8 @@
     replace_borrower,
     change_addresses,
     add_address,
+    miss_change,
+    skip_change,
     wake_after_pause,
     return_twice,
     save_tokens,
@@ -529,21 +556,40 @@
 
 
 class PromptGrowthLender(rights.Lender):
-    """Grows when the change has spread, with older leases still out."""
+    """Grows when the list has spread, with older leases still out."""
+
+    def set_rights(self, shares, units, now, in_force_s, fleet_version):
+        early_s = rights.GROWTH_DELAY_S - rights.SPREAD_LIMIT_S
+        super().set_rights(
+            shares, units, now, in_force_s + early_s, fleet_version
+        )
+
 
-    def set_rights(self, shares, units, now, in_force_s=0.0):
+class LeaseDelayLender(rights.Lender):
+    """Grows when leases have ended, before the next list has spread."""
+
+    def set_rights(self, shares, units, now, in_force_s, fleet_version):
+        delay_s = rights.SPREAD_LIMIT_S + rights.LENDER_HOLD_S
+        early_s = rights.GROWTH_DELAY_S - delay_s
         super().set_rights(
-            shares, units, now, in_force_s + rights.LENDER_HOLD_S
+            shares, units, now, in_force_s + early_s, fleet_version
         )
 
 
 class UndelayedStartLender(rights.Lender):
-    """Takes the state that it starts with for one long in force."""
+    """Takes the list that it starts with for one long in force."""
 
-    def set_rights(self, shares, units, now, in_force_s=0.0):
+    def set_rights(self, shares, units, now, in_force_s, fleet_version):
         if not self._rights:
             in_force_s = rights.GROWTH_DELAY_S
-        super().set_rights(shares, units, now, in_force_s)
+        super().set_rights(shares, units, now, in_force_s, fleet_version)
+
+
+class UnawareLender(rights.Lender):
+    """Does not notice that it was paused."""
+
+    def _hold_back(self, now):
+        pass
 
 
 class ReusedLeaseIdLender(rights.Lender):
@@ -654,7 +700,9 @@
     UnacknowledgedLender: change_owner,
     TrustingLender: replace_borrower,
     PromptGrowthLender: change_addresses,
+    LeaseDelayLender: skip_change,
     UndelayedStartLender: add_address,
+    UnawareLender: miss_change,
     ReusedLeaseIdLender: acknowledge_after_restart,
     DoubleReturnLender: return_twice,
     RepeatedTokensBorrower: repeat_grant,
