Let the shares of a limit sum to it exactly

Cause: shares were rounded down. With 48 hosts and a burst of 1 the pool holds 999,984 millionths, which is under one token, and the workspace is refused for ever.

Change: share_rates takes the host's address, gives the rest to the first hosts in order, and nothing to a host outside the list.

Before: 48 * 20,833 = 999,984 millionths. After: 1,000,000 in test_shares_by_address_sum_to_the_limit_exactly.

Conclusion: a burst of 1 works while all rights are lent to one owner; one lost host is enough to stop it, so bursts of 2 or more are advisable.

--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -51,24 +51,37 @@
 NO_GRANT = messages.LeaseGrant(0, 0, 0.0, ())
 
 
-def share_rates(workspaces, fleet_addresses):
+def share_rates(workspaces, fleet_addresses, address=None):
     """Return one host's share of each workspace's rate and burst.
 
-    The result maps workspace names to (rate, burst) in millionths. Shares
-    are rounded down, so that their sum never exceeds the limit.
+    The result maps workspace names to (rate, burst) in millionths. With the
+    host's `address` the shares sum to the limit exactly, so that a burst of
+    one request is usable, and a host outside the list gets nothing. Without
+    it they are rounded down.
     """
-    count = len(fleet_addresses)
-    if not count:
+    addresses = sorted(fleet_addresses)
+    if address is None:
+        position = len(addresses)
+    elif address in addresses:
+        position = addresses.index(address)
+    else:
+        return {}
+    if not addresses:
         return {}
     return {
         workspace.name: (
-            round(workspace.rate * messages.MICRO) // count,
-            round(workspace.burst * messages.MICRO) // count,
+            _share(workspace.rate, len(addresses), position),
+            _share(workspace.burst, len(addresses), position),
         )
         for workspace in workspaces
     }
 
 
+def _share(limit, count, position):
+    share, rest = divmod(round(limit * messages.MICRO), count)
+    return share + 1 if position < rest else share
+
+
 def list_units(services):
     """Return all slot units of `services`."""
     return [
--- a/tests/standins/rate_load.py
+++ b/tests/standins/rate_load.py
@@ -55,8 +55,8 @@
         self._lenders = {host: rights.Lender(host, 0.0) for host in HOSTS}
         self._borrowers = {host: rights.Borrower(host, 1) for host in HOSTS}
         self.calls = 0
-        shares = rights.share_rates(WORKSPACES, HOSTS)
-        for lender in self._lenders.values():
+        for host, lender in self._lenders.items():
+            shares = rights.share_rates(WORKSPACES, HOSTS, host)
             lender.set_rights(shares, frozenset(), 0.0, in_force_s=60.0)
         chance = random.Random(0)
         self._due = [
--- a/tests/standins/rights_fleet.py
+++ b/tests/standins/rights_fleet.py
@@ -48,7 +48,7 @@
         )
         services = [models.Service(SERVICE, targets)]
         return (
-            rights.share_rates([workspace], self.addresses),
+            rights.share_rates([workspace], self.addresses, address),
             rights.home_units(address, services, self.addresses),
         )
 
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -70,9 +70,27 @@
         self.assertGreater((rate_micro + 1) * 48, 100 * MICRO)
         self.assertLessEqual(burst_micro * 48, 50 * MICRO)
 
+    def test_shares_by_address_sum_to_the_limit_exactly(self):
+        # A burst of 1 that is rounded down is under one token, and nothing
+        # would run.
+        workspace = models.Workspace('w', (), rate=100.0, burst=1.0)
+        shares = [
+            rights.share_rates([workspace], self.ADDRESSES, address)['w']
+            for address in self.ADDRESSES
+        ]
+        self.assertEqual(sum(rate for rate, _ in shares), 100 * MICRO)
+        self.assertEqual(sum(burst for _, burst in shares), MICRO)
+        self.assertLessEqual(max(shares)[0] - min(shares)[0], 1)
+
+    def test_address_outside_the_fleet_has_no_share(self):
+        workspace = models.Workspace('w', (), rate=1.0, burst=1.0)
+        shares = rights.share_rates([workspace], self.ADDRESSES, '192.0.2.1')
+        self.assertEqual(shares, {})
+
     def test_no_fleet_has_no_shares(self):
         workspace = models.Workspace('w', (), rate=1.0, burst=1.0)
         self.assertEqual(rights.share_rates([workspace], ()), {})
+        self.assertEqual(rights.share_rates([workspace], (), 'a'), {})
 
     def test_each_unit_has_one_home(self):
         targets = tuple(
--- a/tests/test_rights_fleet.py
+++ b/tests/test_rights_fleet.py
@@ -196,11 +196,12 @@
     """Check that the owner has the whole rate and all units."""
     owner = fleet.hosts[0].process.borrower
     plan = fleet.plans[-1][1]
-    share, _ = plan.share(plan.addresses[0])
-    rate_micro, burst_micro = share[rights_fleet.WORKSPACE]
     pool = owner.dump(fleet.hosts[0].now())['pools'][rights_fleet.WORKSPACE]
-    count = len(plan.addresses)
-    expected = (rate_micro * count, burst_micro * count, plan.targets)
+    expected = (
+        plan.rate * messages.MICRO,
+        plan.burst * messages.MICRO,
+        plan.targets,
+    )
     units = owner.units(rights_fleet.SERVICE, fleet.hosts[0].now())
     found = (pool['rate_micro'], pool['capacity_micro'], len(units))
     if found != expected:
