Let the daemon hold rights back after a time without news

Cause: a host that runs but hears no news can miss a list of addresses as a paused one can; the lender cannot notice this by itself.

Change: hold_back is public.

Before: no way to withhold the rights.

--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -312,6 +312,20 @@
         self._changes += 1
         self._settle(now)
 
+    def hold_back(self, now):
+        """Stop lending for `GROWTH_DELAY_S`, as a list may have been missed.
+
+        A list that was in force meanwhile may have moved the rights to other
+        hosts, even if they belong here again. Called after a pause, and for
+        a host that had no news for longer than `MISSED_CHANGE_S`.
+        """
+        for right in self._rights.values():
+            right.set_share(NO_SHARE, now)
+        self._fleet_version = None
+        self._grow_from = now + GROWTH_DELAY_S
+        self._is_growing = True
+        self._changes += 1
+
     def grant(self, request, owned_workspaces, owned_services, now):
         """Answer a borrower that owns the given workspaces and services."""
         self._settle(now)
@@ -414,23 +428,13 @@
                     self._rights[key].come_home(lease.until, 0)
                 self._changes += 1
         if now - self._settled_at > MISSED_CHANGE_S:
-            self._hold_back(now)
+            self.hold_back(now)
         self._settled_at = max(self._settled_at, now)
         if self._is_growing and self._grow_from <= now:
             self._grow(now)
         if self._changes != changes:
             self._drop_gone()
 
-    def _hold_back(self, now):
-        # A list that was in force meanwhile may have moved the rights to
-        # other hosts, even if they belong here again.
-        for right in self._rights.values():
-            right.set_share(NO_SHARE, now)
-        self._fleet_version = None
-        self._grow_from = now + GROWTH_DELAY_S
-        self._is_growing = True
-        self._changes += 1
-
     def _grow(self, now):
         for right in self._rights.values():
             if right.share != right.wanted:
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -486,6 +486,18 @@
         self.link.exchange(woken + rights.GROWTH_DELAY_S)
         self.assertEqual(self.units(woken + rights.GROWTH_DELAY_S), {UNIT})
 
+    def test_rights_held_back_are_taken_from_their_borrower(self):
+        self.lender.hold_back(FULL + 1)
+        self.assertTrue(self.link.exchange(FULL + 1))
+        self.assertEqual(self.units(FULL + 1), frozenset())
+        self.assertEqual(self.link.take_all(FULL + 1), 0)
+        self.exchange_until(FULL + 1 + rights.GROWTH_DELAY_S)
+        at = FULL + 1 + rights.GROWTH_DELAY_S
+        self.assertEqual(self.units(at - 0.1), frozenset())
+        self.link.exchange(at)
+        self.assertEqual(self.units(at), {UNIT})
+        self.assertEqual(self.link.take_all(at), 0)
+
     def test_removed_workspace_leaves_no_state(self):
         self.lender.set_rights({}, frozenset(), FULL + 1)
         self.link.exchange(FULL + 1)
--- a/tests/test_rights_fleet.py
+++ b/tests/test_rights_fleet.py
@@ -589,7 +589,7 @@
 class UnawareLender(rights.Lender):
     """Does not notice that it was paused."""
 
-    def _hold_back(self, now):
+    def hold_back(self, now):
         pass
 
 
