--- a/lavenderstile/daemon.py
+++ b/lavenderstile/daemon.py
@@ -144,7 +144,9 @@
             lambda: self.readiness.may_own,
             self.readiness.record_synchronized,
         )
-        self._owner.set_running_source(self._slots.own_running)
+        self._owner.set_sources(
+            self._slots.own_running, self._exchanges.start_exchange
+        )
         self._probes = probe_task.ProbeTask(
             self._clock, self.configuration, self._owner
         )
--- a/lavenderstile/membership.py
+++ b/lavenderstile/membership.py
@@ -195,6 +195,16 @@
             return PeerState.RELAYED
         return PeerState.DEAD
 
+    @property
+    def heard_at(self):
+        """Time of the last completed exchange with any peer, or None."""
+        moments = [
+            peer.succeeded_at
+            for peer in self._peers.values()
+            if peer.succeeded_at is not None
+        ]
+        return max(moments, default=None)
+
     def heard(self, now):
         """Return the peers whose exchanges succeeded lately."""
         return tuple(
--- a/lavenderstile/peer_exchange.py
+++ b/lavenderstile/peer_exchange.py
@@ -74,6 +74,11 @@
             spent = self.now() - started
             await asyncio.sleep(max(interval_s / 10, interval_s - spent))
 
+    def start_exchange(self, address):
+        """Exchange with a peer now, besides the regular ones."""
+        if address != self._membership.address:
+            self._host.spawn(self.exchange_with(address))
+
     async def exchange_with(self, address):
         """Exchange once with a peer; return whether it answered."""
         peer = self._membership.peers.get(address)
--- a/lavenderstile/wire.py
+++ b/lavenderstile/wire.py
@@ -35,14 +35,20 @@
 def pack_borrow(request):
     """Return the gRPC form of a borrow request."""
     return peer_pb2.BorrowRequest(
-        known_lease=request.known_lease, known_version=request.known_version
+        known_lease=request.known_lease,
+        known_version=request.known_version,
+        returned=[_pack_rate(item) for item in request.returned],
     )
 
 
 def unpack_borrow(data, address, incarnation):
     """Return the borrow request that came with an exchange."""
     return messages.BorrowRequest(
-        address, incarnation, data.known_lease, data.known_version
+        address,
+        incarnation,
+        data.known_lease,
+        data.known_version,
+        tuple(_unpack_rate(item) for item in data.returned),
     )
 
 
--- a/tests/test_rights_fleet.py
+++ b/tests/test_rights_fleet.py
@@ -8,6 +8,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from lavenderstile import messages
 from lavenderstile import rates
 from lavenderstile import rights
 from tests.standins import rights_fleet
@@ -195,11 +196,12 @@
     """Check that the owner has the whole rate and all units."""
     owner = fleet.hosts[0].process.borrower
     plan = fleet.plans[-1][1]
-    share, _ = plan.share(plan.addresses[0])
-    rate_micro, burst_micro = share[rights_fleet.WORKSPACE]
     pool = owner.dump(fleet.hosts[0].now())['pools'][rights_fleet.WORKSPACE]
-    count = len(plan.addresses)
-    expected = (rate_micro * count, burst_micro * count, plan.targets)
+    expected = (
+        plan.rate * messages.MICRO,
+        plan.burst * messages.MICRO,
+        plan.targets,
+    )
     units = owner.units(rights_fleet.SERVICE, fleet.hosts[0].now())
     found = (pool['rate_micro'], pool['capacity_micro'], len(units))
     if found != expected:
@@ -310,6 +312,25 @@
     fleet.check_units()
 
 
+def hand_over(fleet):
+    """Rights move with the tokens left, while replies are repeated."""
+    owner, lender, other = fleet.hosts
+    fleet.take(owner.process, 3)
+    for host in (lender, other):
+        isolate(host)
+        fleet.ask(owner, host)
+        fleet.deliver(-1)
+        fleet.deliver(-1, keep=True)
+        fleet.ask(owner, host)
+        fleet.deliver(-1, keep=True)
+        fleet.exchange(host, host)
+        fleet.take_all()
+        fleet.deliver(-2)
+        fleet.exchange(host, host)
+        fleet.take_all()
+        fleet.check_units()
+
+
 def replace_borrower(fleet):
     """An owner is replaced while its earlier process is paused."""
     fleet.replace(fleet.hosts[0])
@@ -339,6 +360,31 @@
     use_for(fleet, 7, [(joining, joining)])
 
 
+def miss_change(fleet):
+    """A pause hides a list of addresses from one of its hosts."""
+    owner, home, _ = fleet.hosts
+    fleet.pause(home)
+    isolate(owner, home)
+    fleet.publish(addresses=(owner.address,))
+    use_for(fleet, 20, [(owner, owner)])
+    fleet.publish(addresses=(home.address,))
+    fleet.resume(home)
+    use_for(fleet, 20, [(owner, owner), (home, home)])
+
+
+def skip_change(fleet):
+    """A host learns two lists at once, another one learns them late."""
+    _, owner, home = fleet.hosts
+    isolate(owner, home)
+    exchanges = [(owner, owner), (home, home)]
+    fleet.publish(addresses=(owner.address,))
+    fleet.learn(owner)
+    use_for(fleet, 4, exchanges)
+    fleet.publish(addresses=(home.address,))
+    fleet.learn(home)
+    use_for(fleet, 20, exchanges)
+
+
 def wake_after_pause(fleet):
     """An owner wakes after its leases have ended."""
     owner, lender, other = fleet.hosts
@@ -429,9 +475,12 @@
     delay_reply,
     reorder_replies,
     change_owner,
+    hand_over,
     replace_borrower,
     change_addresses,
     add_address,
+    miss_change,
+    skip_change,
     wake_after_pause,
     return_twice,
     save_tokens,
@@ -484,13 +533,14 @@
 
     def _update_items(self, lease, workspaces, services, now):
         super()._update_items(lease, workspaces, services, now)
-        self._acknowledge(lease, lease.version, now)
+        known = messages.BorrowRequest('', 0, 0, lease.version)
+        self._acknowledge(lease, known, now)
 
 
 class DeafLender(rights.Lender):
     """Waits for ever for borrowers that go on renewing."""
 
-    def _acknowledge(self, lease, version, now):
+    def _acknowledge(self, lease, request, now):
         pass
 
 
@@ -507,21 +557,40 @@
 
 
 class PromptGrowthLender(rights.Lender):
-    """Grows when the change has spread, with older leases still out."""
+    """Grows when the list has spread, with older leases still out."""
+
+    def set_rights(self, shares, units, now, in_force_s, fleet_version):
+        early_s = rights.GROWTH_DELAY_S - rights.SPREAD_LIMIT_S
+        super().set_rights(
+            shares, units, now, in_force_s + early_s, fleet_version
+        )
+
+
+class LeaseDelayLender(rights.Lender):
+    """Grows when leases have ended, before the next list has spread."""
 
-    def set_rights(self, shares, units, now, in_force_s=0.0):
+    def set_rights(self, shares, units, now, in_force_s, fleet_version):
+        delay_s = rights.SPREAD_LIMIT_S + rights.LENDER_HOLD_S
+        early_s = rights.GROWTH_DELAY_S - delay_s
         super().set_rights(
-            shares, units, now, in_force_s + rights.LENDER_HOLD_S
+            shares, units, now, in_force_s + early_s, fleet_version
         )
 
 
 class UndelayedStartLender(rights.Lender):
-    """Takes the state that it starts with for one long in force."""
+    """Takes the list that it starts with for one long in force."""
 
-    def set_rights(self, shares, units, now, in_force_s=0.0):
+    def set_rights(self, shares, units, now, in_force_s, fleet_version):
         if not self._rights:
             in_force_s = rights.GROWTH_DELAY_S
-        super().set_rights(shares, units, now, in_force_s)
+        super().set_rights(shares, units, now, in_force_s, fleet_version)
+
+
+class UnawareLender(rights.Lender):
+    """Does not notice that it was paused."""
+
+    def hold_back(self, now):
+        pass
 
 
 class ReusedLeaseIdLender(rights.Lender):
@@ -552,6 +621,17 @@
         super().accept(lender, lender_incarnation, sent_at, grant, now)
 
 
+class KeepingBorrower(rights.Borrower):
+    """Keeps the tokens that it returns with a right."""
+
+    def _remove_shares(self, lender, holding, keys, now):
+        returned = super()._remove_shares(lender, holding, keys, now)
+        for item in returned:
+            pool = self._pools[item.workspace]
+            pool.bucket.put(item.tokens_micro)
+        return returned
+
+
 class ArrivalBorrower(rights.Borrower):
     """Counts the lease from the arrival of the grant."""
 
@@ -621,10 +701,13 @@
     UnacknowledgedLender: change_owner,
     TrustingLender: replace_borrower,
     PromptGrowthLender: change_addresses,
+    LeaseDelayLender: skip_change,
     UndelayedStartLender: add_address,
+    UnawareLender: miss_change,
     ReusedLeaseIdLender: acknowledge_after_restart,
     DoubleReturnLender: return_twice,
     RepeatedTokensBorrower: repeat_grant,
+    KeepingBorrower: hand_over,
     ArrivalBorrower: delay_reply,
     ForgetfulBorrower: reorder_replies,
     UncheckedBorrower: wake_after_pause,
