Recognize hosts that are cut off from a failure domain

Cause: a third of the hosts that lose the link to one domain make its targets fail a third of all requests, seen from many hosts. Ejection then took three of the four targets from the hosts that could reach them.

Change: after a failure, a cut host fails again, while a bad target answers it with the chance that it has for everybody. find_cut_hosts() compares both; the cut hosts avoid the domain's targets, together and for a doubling time, and their evidence on these targets is dropped. A host may avoid up to half of its targets, as others still use them; the floor does not apply to that. Trials are given to hosts that reach the whole domain.

--- a/lavenderstile/avoidance.py
+++ b/lavenderstile/avoidance.py
@@ -4,8 +4,9 @@
 
 # At an error share of 1%, three failures in a row are one in a million.
 FAILURES_IN_A_ROW = 3
-# Failures that are further apart are not counted together.
-ROW_MEMORY_S = 60.0
+# Failures that are further apart are not counted together; more than the
+# longest avoidance.
+ROW_MEMORY_S = 120.0
 FIRST_AVOIDANCE_S = 5.0
 MAX_AVOIDANCE_S = 60.0
 # The other hosts must find the target good: so many requests of theirs,
@@ -20,12 +21,14 @@
 class _Path:
     """State of one path."""
 
-    __slots__ = ('avoidances', 'failed_at', 'failures', 'until')
+    __slots__ = ('avoidances', 'failed_at', 'failures', 'group', 'until')
 
     def __init__(self):
         self.failures = 0
         self.failed_at = 0.0
         self.avoidances = 0
+        # Targets that the host avoids together.
+        self.group = ()
         self.until = 0.0
 
 
@@ -33,8 +36,8 @@
     """Keeps hosts off targets that fail for them alone.
 
     A host gets back to the target after a time that doubles while the
-    path fails again. A host keeps the share `floor` of its targets, so
-    that one with a bad link to all of them avoids only a few.
+    path fails again. A host that fails on most targets has a bad link, and
+    avoids none.
     """
 
     __slots__ = ('_paths',)
@@ -46,21 +49,39 @@
         return len(self._paths)
 
     def record(self, host, target, failed, now):
-        """Count an outcome on a path."""
+        """Count an outcome on a path.
+
+        Return whether it is a failure that only confirms a bad path; the
+        host then avoids the path and those of its group again.
+        """
         key = (host, target)
         path = self._paths.get(key)
         if not failed:
             if path is not None and path.until <= now:
                 del self._paths[key]
-            return
-        if path is None:
-            while len(self._paths) >= MAX_PATHS:
-                self._paths.popitem(last=False)
-            path = self._paths[key] = _Path()
+            return False
+        path = self._get(host, target)
         if now - path.failed_at > ROW_MEMORY_S:
             path.failures = 0
+            path.avoidances = 0
         path.failures += 1
         path.failed_at = now
+        if not path.avoidances:
+            return False
+        if path.until <= now:
+            group = [
+                name for name in path.group if (host, name) in self._paths
+            ]
+            self.avoid(host, group, now)
+        return True
+
+    def _get(self, host, target):
+        path = self._paths.get((host, target))
+        if path is None:
+            while len(self._paths) >= MAX_PATHS:
+                self._paths.popitem(last=False)
+            path = self._paths[host, target] = _Path()
+        return path
 
     def is_avoided(self, host, target, now):
         """Return whether the host is kept off the target."""
@@ -80,29 +101,35 @@
         """Forget all paths."""
         self._paths.clear()
 
-    def review(self, window, targets, floor, now):
+    def avoid(self, host, targets, now):
+        """Avoid paths that are known to be cut."""
+        for target in targets:
+            path = self._get(host, target)
+            path.group = tuple(targets)
+            path.failed_at = now
+            path.until = now + min(
+                MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2**path.avoidances
+            )
+            path.avoidances += 1
+
+    def review(self, window, targets, now):
         """Avoid the paths that have become bad; return the new ones."""
         failing = collections.defaultdict(list)
         for (host, target), path in self._paths.items():
             recent = now - path.failed_at <= RECENT_S
             if target in targets and path.failures and recent:
                 failing[host].append((target, path))
-        allowed = max(1, int((1 - floor) * len(targets) + 1e-9))
         found = []
         for host, paths in failing.items():
-            if len(paths) > allowed or len(targets) < 2:
+            if 2 * len(paths) > len(targets):
                 continue
             for target, path in paths:
-                if path.until > now or path.failures < FAILURES_IN_A_ROW:
+                if path.avoidances or path.failures < FAILURES_IN_A_ROW:
                     continue
                 samples = window.samples(target, now)
                 if not _is_good_for_others(samples, host):
                     continue
-                path.failures = FAILURES_IN_A_ROW - 1
-                path.until = now + min(
-                    MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2**path.avoidances
-                )
-                path.avoidances += 1
+                self.avoid(host, (target,), now)
                 found.append((host, target))
         return found
 
--- a/lavenderstile/evidence.py
+++ b/lavenderstile/evidence.py
@@ -97,6 +97,12 @@
         """Drop the samples of one target."""
         self._samples.pop(target, None)
 
+    def forget_hosts(self, target, hosts):
+        """Drop the samples of some hosts on one target."""
+        samples = self._samples.get(target, ())
+        kept = [sample for sample in samples if sample.host not in hosts]
+        self._samples[target] = collections.deque(kept, maxlen=MAX_SAMPLES)
+
     def clear(self):
         """Drop all samples."""
         self._samples.clear()
--- /dev/null
+++ b/lavenderstile/partitions.py
@@ -0,0 +1,56 @@
+"""Recognition of hosts that are cut off from a group of targets.
+
+A bad target fails requests of all hosts at random. If the network is cut,
+some hosts fail always and the others never: after a failure, the same host's
+next request fails too.
+"""
+
+import collections
+
+# Pairs of requests of one host whose first one failed. With a third of the
+# requests failing at random, 8 pairs with at most one good second request
+# have a chance of 0.3%.
+MIN_PAIRS = 8
+# Share of good second requests, as a part of what chance would give.
+CHANCE_PART = 0.25
+# Above this share of failures, the targets are bad for most hosts.
+MAX_SHARE = 0.6
+# Consecutive failures that make a host one of the cut ones.
+MIN_FAILURES = 2
+# Only these latest samples give the share; older ones are from before.
+SHARE_WINDOW_S = 3.0
+
+
+def find_cut_hosts(samples, now):
+    """Return the hosts that are cut off from the targets of `samples`.
+
+    The samples are those of all targets in question. The result is empty
+    if the failures are spread over the hosts.
+    """
+    recent = [s.failed for s in samples if now - s.at <= SHARE_WINDOW_S]
+    share = sum(recent) / len(recent) if recent else 1.0
+    if share > MAX_SHARE:
+        return frozenset()
+    rows = collections.Counter()
+    pairs = 0
+    recovered = 0
+    for sample in sorted(samples, key=lambda sample: sample.at):
+        if rows[sample.host]:
+            pairs += 1
+            recovered += not sample.failed
+        rows[sample.host] = rows[sample.host] + 1 if sample.failed else 0
+    if pairs < MIN_PAIRS or recovered > CHANCE_PART * (1 - share) * pairs:
+        return frozenset()
+    return frozenset(
+        host for host, failures in rows.items() if failures >= MIN_FAILURES
+    )
+
+
+def find_working_hosts(samples, now):
+    """Return the hosts whose latest request on a target was answered."""
+    latest = {
+        sample.host: sample.failed
+        for sample in samples
+        if now - sample.at <= SHARE_WINDOW_S
+    }
+    return {host for host, failed in latest.items() if not failed}
--- a/lavenderstile/placement.py
+++ b/lavenderstile/placement.py
@@ -71,10 +71,22 @@
             if self._table.running(state.address):
                 continue
             units = state.usable_units(self._table, now)
-            if units and not self._avoided(request.host, state.address, now):
+            if units and self._reaches(request.host, state, now):
                 return state, units[0]
         return None
 
+    def _reaches(self, host, state, now):
+        """Return whether the host avoids no target of the same domain.
+
+        A trial on a link that may be bad would say nothing about the
+        target.
+        """
+        domain = state.target.domain
+        return not any(
+            other.target.domain == domain and self._avoided(host, address, now)
+            for address, other in self._states.items()
+        )
+
     def _choose_regular(self, allowed, request, now):
         shares = self._domain_shares()
         best = None
--- a/lavenderstile/reviews.py
+++ b/lavenderstile/reviews.py
@@ -1,5 +1,6 @@
 """Review of a service's targets: evidence, hints, ejection, cold start."""
 
+import collections
 import statistics
 
 from . import avoidance
@@ -7,6 +8,7 @@
 from . import evidence
 from . import floors
 from . import messages
+from . import partitions
 from . import target_events
 from . import targets
 from . import unanswered
@@ -35,12 +37,12 @@
     """
 
     __slots__ = (
+        '_avoidance',
         '_ejection',
         '_events',
         '_floor',
         '_name',
         '_notes',
-        '_paths',
         '_silence',
         '_states',
         '_table',
@@ -53,7 +55,7 @@
         self._states = states
         self._table = table
         self._window = evidence.EvidenceWindow()
-        self._paths = avoidance.PathAvoidance()
+        self._avoidance = avoidance.PathAvoidance()
         self._silence = unanswered.SilenceWatch()
         self._ejection = ejection.EjectionPolicy(
             service_name, states, floors.CapacityFloor(states, table)
@@ -73,7 +75,7 @@
         for address in self._states.keys() - addresses:
             del self._states[address]
             self._window.forget(address)
-            self._paths.forget(address)
+            self._avoidance.forget(address)
         for target in service.targets:
             in_service = target.domain not in domains_out
             state = self._states.get(target.address)
@@ -117,9 +119,10 @@
             return
         if holder is not None and holder.granted_at < state.evidence_since:
             return
+        if self._avoidance.record(report.host, state.address, failed, now):
+            return
         latency_s = None if failed else report.latency_s
         self._window.record(state.address, report.host, failed, latency_s, now)
-        self._paths.record(report.host, state.address, failed, now)
         self._silence.record(state.address, report.host, failed, now)
 
     def hint(self, hint, now):
@@ -139,11 +142,12 @@
         """Review all targets; return the changes since the last time."""
         regular = [a for a, state in self._states.items() if state.regular]
         silent = self._silence.review(regular, self._table, now)
+        judgements = self._window.compare(regular, now)
+        if self._avoid_cuts(judgements, now):
+            judgements = self._window.compare(regular, now)
         judgements = {
             address: self._silence.judge(judgement)
-            for address, judgement in self._window.compare(
-                regular, now
-            ).items()
+            for address, judgement in judgements.items()
         }
         self._note_medians(judgements)
         self._ejection.evaluate(judgements, silent, self._floor, now)
@@ -154,7 +158,7 @@
 
     def is_avoided(self, host, target, now):
         """Return whether a host is kept off a target."""
-        return self._paths.is_avoided(host, target, now)
+        return self._avoidance.is_avoided(host, target, now)
 
     def notes(self, now):
         """Return ejections and cold starts as notes for a successor."""
@@ -181,7 +185,7 @@
     def drop_evidence(self, now):
         """Forget what spans a pause of this process."""
         self._window.clear()
-        self._paths.clear()
+        self._avoidance.clear()
         self._silence.clear()
         self._ejection.restart_trials(now)
         for state in self._states.values():
@@ -195,7 +199,7 @@
 
     def avoided_hosts(self, address, now):
         """Return the hosts that are kept off a target."""
-        avoided = self._paths.avoided(now)
+        avoided = self._avoidance.avoided(now)
         return sorted(host for host, target in avoided if target == address)
 
     def _inherit_notes(self, now):
@@ -263,6 +267,50 @@
             usual_s + evidence.MIN_LATENCY_EXCESS_S,
         )
 
+    def _avoid_cuts(self, judgements, now):
+        """Keep hosts off the targets of a domain that they cannot reach.
+
+        Return whether there are any; their evidence is dropped then.
+        """
+        groups = collections.defaultdict(list)
+        for address, judgement in judgements.items():
+            if judgement.bad and not judgement.slow:
+                domain = self._states[address].target.domain
+                groups[domain].append(address)
+        found = False
+        for domain, addresses in groups.items():
+            samples = [
+                sample
+                for address in addresses
+                for sample in self._window.samples(address, now)
+            ]
+            hosts = partitions.find_cut_hosts(samples, now)
+            if hosts:
+                found = True
+                self._cut(domain, hosts, judgements, now)
+        return found
+
+    def _cut(self, domain, hosts, addresses, now):
+        """Let hosts avoid the targets of a domain that do not work there."""
+        groups = collections.defaultdict(list)
+        for address in addresses:
+            if self._states[address].target.domain != domain:
+                continue
+            works = partitions.find_working_hosts(
+                self._window.samples(address, now), now
+            )
+            for host in hosts - works:
+                groups[host].append(address)
+            self._window.forget_hosts(address, hosts - works)
+        for host, group in groups.items():
+            self._avoidance.avoid(host, group, now)
+        for address in sorted({a for group in groups.values() for a in group}):
+            self._log(
+                self._states[address],
+                EventKind.PATH_AVOIDED,
+                f'{len(hosts)} hosts are cut off from domain {domain}',
+            )
+
     def _note_medians(self, judgements):
         for address, judgement in judgements.items():
             self._states[address].median_s = judgement.median_s
@@ -275,7 +323,7 @@
             self._typical_s = statistics.median(medians)
 
     def _review_paths(self, regular, now):
-        found = self._paths.review(self._window, regular, self._floor, now)
+        found = self._avoidance.review(self._window, regular, now)
         for host, target in found:
             self._log(
                 self._states[target],
@@ -288,7 +336,7 @@
             self._events.append(event)
             if event.kind is EventKind.EJECTED:
                 self._window.forget(event.target)
-                self._paths.forget(event.target)
+                self._avoidance.forget(event.target)
 
     def _log(self, state, kind, reason):
         self._events.append(
