--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -136,6 +136,45 @@
         self.assertEqual(len(queue), queueing.MAX_ENTRIES)
 
 
+class PatientQueue(queueing.FairQueue):
+    """Weakened variant: lets every request wait until its deadline."""
+
+    def push(self, request, now, pace_s):
+        return super().push(request, now, None)
+
+    def expire(self, now, pace_s):
+        return super().expire(now, None)
+
+
+class ShedTest(unittest.TestCase):
+    """Guards against waits that end in a refusal."""
+
+    def _run(self, queue_class):
+        """Return the ticks that refused requests waited, at twice the load."""
+        queue = queue_class()
+        waited = []
+        for tick in range(200):
+            for number in range(2):
+                request = make_request(f'{tick}-{number}', 'a', tick + 20.0)
+                if queue.push(request, float(tick), 1.0) is not None:
+                    waited.append(0)
+            queue.pop(lambda request: request)
+            for shed in queue.expire(float(tick), 1.0):
+                since = int(shed.request_id[1:].split('-')[0])
+                waited.append(tick - since)
+        return waited
+
+    def test_refuses_before_the_wait_and_not_after_it(self):
+        waited = self._run(queueing.FairQueue)
+        self.assertGreater(len(waited), 80)
+        self.assertEqual(max(waited), 0)
+
+    def test_without_an_estimate_refused_requests_waited_in_vain(self):
+        waited = self._run(PatientQueue)
+        self.assertGreater(len(waited), 80)
+        self.assertEqual(min(waited), 20)
+
+
 class RemovalTest(unittest.TestCase):
     """Guards against entries that stay after a cancellation."""
 
