--- a/tests/cases.py
+++ b/tests/cases.py
@@ -1,20 +1,48 @@
-"""Set-up shared by the tests of the connections to targets."""
+"""Set-up shared by the tests of the stand-ins and of the forwarder."""
 
 import unittest
 
+import httpx
+
 from lavenderstile import clocks
 from lavenderstile import errors
 from lavenderstile import forwarding
 from tests.standins import target
 from tests.standins import target_state
 
-# Overall limit of one request; not a bound on what a test measures.
+# Overall limit of a request; not a bound on what a test measures.
 LIMIT_S = 30.0
 
 # Deadline of requests that are meant to time out.
 SHORT_S = 0.3
 
 
+def make_client(address):
+    """Return an HTTP client for a stand-in's address."""
+    return httpx.AsyncClient(
+        base_url=f'http://{address}', trust_env=False, timeout=LIMIT_S
+    )
+
+
+class StandinCase(unittest.IsolatedAsyncioTestCase):
+    """Common set-up: one stand-in and one client in the test's loop."""
+
+    async def start(self, manager):
+        """Enter a stand-in's context; return its address and a client."""
+        address = await self.enterAsyncContext(manager)
+        client = await self.enterAsyncContext(make_client(address))
+        return address, client
+
+    async def start_target(self, cold=False, seed=1, **behaviour):
+        """Start a target; return it and a client."""
+        state = target_state.TargetState(
+            cold=cold, seed=seed, behaviour=target_state.Behaviour(**behaviour)
+        )
+        server = target.Target(state)
+        _, client = await self.start(target.serve_target(server))
+        return server, client
+
+
 class MovableClock(clocks.Clock):
     """The machine's clock, which a test can move forward."""
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,110 @@
+"""Tests of the stand-ins that drive processes and load."""
+
+import tomllib
+import unittest
+
+import httpx
+
+from tests import cases
+from tests.standins import callers
+from tests.standins import fleet
+from tests.standins import target
+
+
+class CallersTest(cases.StandinCase):
+    """Guards against a load tool that miscounts."""
+
+    async def run_plan(self, client, **fields):
+        url = str(client.base_url).rstrip('/')
+        plan = callers.Plan(urls=(url,), rate=500.0, **fields)
+        return await callers.Callers(plan).run()
+
+    async def test_counts_every_call_by_its_end(self):
+        server, client = await self.start_target(slots=100, error_share=0.3)
+        report = await self.run_plan(
+            client, count=60, method='POST', body_bytes=1000
+        )
+        errors = sum(run.end == 'error' for run in server.state.runs)
+        self.assertTrue(0 < errors < 60)
+        self.assertEqual(report.count(kind='error', status=500), errors)
+        self.assertEqual(report.count(kind='answered'), 60 - errors)
+        self.assertIn('answered', report.format_table())
+
+    async def test_truncated_and_stalled_answers_are_told_apart(self):
+        server, client = await self.start_target(
+            slots=100, truncated_share=1.0
+        )
+        report = await self.run_plan(client, count=5)
+        self.assertEqual(report.count(kind='truncated'), 5)
+        server.state.change({'truncated_share': 0.0, 'stalled_share': 1.0})
+        report = await self.run_plan(
+            client, count=5, deadline_ms=200, grace_s=0.1
+        )
+        self.assertEqual(report.count(kind='timeout'), 5)
+
+    def test_only_loopback_is_allowed(self):
+        plan = callers.Plan(urls=('http://192.0.2.1:80',))
+        with self.assertRaises(ValueError):
+            callers.Callers(plan)
+
+    def test_verdicts_are_read_from_the_header(self):
+        self.assertEqual(
+            callers.parse_verdict('not-run; reason=rate_exceeded'),
+            ('not-run', 'rate_exceeded'),
+        )
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against processes that outlive the test that started them."""
+
+    async def test_starts_controls_and_ends_the_standins(self):
+        async with fleet.run_fleet(hosts=1, targets=1) as running:
+            server = running.targets[0]
+            await running.publish('tickets/1', 'ticket = 1')
+            await running.control(server.url, 'cold')
+            counters = await running.control(server.url, 'counters')
+            self.assertEqual(counters['state'], 'cold')
+            server.process.pause()
+        self.assertFalse(any(each.is_running for each in running.everything))
+        self.assertEqual(await server.process.wait(), 0)
+        self.assertEqual(await running.platform.wait(), 0)
+
+    async def test_a_paused_target_goes_on_after_its_pause(self):
+        async with fleet.run_fleet(hosts=0, targets=1) as running:
+            server = running.targets[0]
+            server.process.pause()
+            async with httpx.AsyncClient(trust_env=False) as client:
+                with self.assertRaises(httpx.ReadTimeout):
+                    await client.get(server.url, timeout=0.3)
+                server.process.resume()
+                answer = await client.get(server.url, timeout=cases.LIMIT_S)
+            self.assertEqual(answer.status_code, 200)
+
+    async def test_settings_name_each_host_its_own_addresses(self):
+        async with fleet.run_fleet(hosts=4, targets=0) as running:
+            paths = sorted(running.directory.glob('host-*.toml'))
+            settings = [tomllib.loads(path.read_text()) for path in paths]
+        listeners = {
+            address for each in settings for address in each['listen'].values()
+        }
+        self.assertEqual(len(listeners), 4 * 3)
+        domains = [each['host']['domain'] for each in settings]
+        self.assertEqual(len(set(domains)), 3)
+        for each in settings:
+            seeds = each['peers']['seeds']
+            self.assertEqual(len(seeds), 3)
+            self.assertNotIn(each['listen']['peers'], seeds)
+
+    async def test_a_crashed_target_can_be_started_again(self):
+        async with fleet.run_fleet(hosts=1, targets=1) as running:
+            server = running.targets[0]
+            await running.control(
+                server.url, 'behaviour', {'crash_marker': 'poison'}
+            )
+            async with httpx.AsyncClient(trust_env=False) as client:
+                with self.assertRaises(httpx.HTTPError):
+                    await client.post(server.url, content=b'poison')
+            status = await server.process.wait()
+            self.assertEqual(status, target.CRASH_STATUS)
+            await server.process.start()
+            await running.wait_until_ready(server.process, server.url)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,48 +2,15 @@
 
 import asyncio
 import hashlib
-import unittest
 
 import httpx
 
-from tests.standins import callers
-from tests.standins import fleet
+from tests import cases
 from tests.standins import platform
 from tests.standins import serving
-from tests.standins import target
-from tests.standins import target_state
 
-# Overall limit of one test; not a bound on what it measures.
-LIMIT_S = 30.0
 
-
-def make_client(address):
-    """Return an HTTP client for a stand-in's address."""
-    return httpx.AsyncClient(
-        base_url=f'http://{address}', trust_env=False, timeout=LIMIT_S
-    )
-
-
-class StandinTest(unittest.IsolatedAsyncioTestCase):
-    """Common set-up: one stand-in and one client in the test's loop."""
-
-    async def start(self, manager):
-        """Enter a stand-in's context; return its address and a client."""
-        address = await self.enterAsyncContext(manager)
-        client = await self.enterAsyncContext(make_client(address))
-        return address, client
-
-    async def start_target(self, cold=False, seed=1, **behaviour):
-        """Start a target; return it and a client."""
-        state = target_state.TargetState(
-            cold=cold, seed=seed, behaviour=target_state.Behaviour(**behaviour)
-        )
-        server = target.Target(state)
-        _, client = await self.start(target.serve_target(server))
-        return server, client
-
-
-class PlatformTest(StandinTest):
+class PlatformTest(cases.StandinCase):
     """Guards against a platform that hides stale, lost or extra reads."""
 
     async def asyncSetUp(self):
@@ -72,7 +39,7 @@
         self.assertEqual(answer['items'], [item])
 
     async def test_a_watch_waits_for_a_value_and_is_one_call(self):
-        watch = asyncio.create_task(self.read(wait=LIMIT_S))
+        watch = asyncio.create_task(self.read(wait=cases.LIMIT_S))
         await serving.wait_until(lambda: self.state.calls > 0)
         self.assertFalse(watch.done())
         await self.control('values', key='tickets/1', value='one')
@@ -96,7 +63,7 @@
         self.assertEqual((await self.read())['items'][0]['value'], 'two')
 
     async def test_a_silent_platform_answers_nothing(self):
-        watch = asyncio.create_task(self.read(wait=LIMIT_S))
+        watch = asyncio.create_task(self.read(wait=cases.LIMIT_S))
         await serving.wait_until(lambda: self.state.calls > 0)
         await self.control('mode', mode='silent')
         with self.assertRaises(httpx.ReadTimeout):
@@ -123,7 +90,7 @@
         self.assertEqual(answer, {'hosts': hosts})
 
 
-class TargetTest(StandinTest):
+class TargetTest(cases.StandinCase):
     """Guards against targets whose faults or records do not happen."""
 
     async def test_a_run_is_recorded_without_the_key(self):
@@ -246,7 +213,9 @@
 
     async def test_control_goes_on_while_connections_are_silent(self):
         server, client = await self.start_target()
-        async with make_client(str(client.base_url.netloc, 'ascii')) as other:
+        async with cases.make_client(
+            str(client.base_url.netloc, 'ascii')
+        ) as other:
             await other.get('/')
             await client.post('/control/silence')
             with self.assertRaises(httpx.ReadTimeout):
@@ -266,7 +235,9 @@
     async def test_connections_over_the_limit_are_reset(self):
         server, client = await self.start_target(connections=1)
         await client.get('/')
-        async with make_client(str(client.base_url.netloc, 'ascii')) as other:
+        async with cases.make_client(
+            str(client.base_url.netloc, 'ascii')
+        ) as other:
             with self.assertRaises(httpx.HTTPError):
                 await other.get('/')
         self.assertEqual((server.refused, server.peak_connections), (1, 1))
@@ -292,76 +263,3 @@
             ends.append([run.end for run in server.state.runs])
         self.assertEqual(ends[0], ends[1])
         self.assertEqual(set(ends[0]), {'answered', 'error'})
-
-
-class CallersTest(StandinTest):
-    """Guards against a load tool that miscounts."""
-
-    async def run_plan(self, client, **fields):
-        url = str(client.base_url).rstrip('/')
-        plan = callers.Plan(urls=(url,), rate=500.0, **fields)
-        return await callers.Callers(plan).run()
-
-    async def test_counts_every_call_by_its_end(self):
-        server, client = await self.start_target(slots=100, error_share=0.3)
-        report = await self.run_plan(
-            client, count=60, method='POST', body_bytes=1000
-        )
-        errors = sum(run.end == 'error' for run in server.state.runs)
-        self.assertTrue(0 < errors < 60)
-        self.assertEqual(report.count(kind='error', status=500), errors)
-        self.assertEqual(report.count(kind='answered'), 60 - errors)
-        self.assertIn('answered', report.format_table())
-
-    async def test_truncated_and_stalled_answers_are_told_apart(self):
-        server, client = await self.start_target(
-            slots=100, truncated_share=1.0
-        )
-        report = await self.run_plan(client, count=5)
-        self.assertEqual(report.count(kind='truncated'), 5)
-        server.state.change({'truncated_share': 0.0, 'stalled_share': 1.0})
-        report = await self.run_plan(
-            client, count=5, deadline_ms=200, grace_s=0.1
-        )
-        self.assertEqual(report.count(kind='timeout'), 5)
-
-    def test_only_loopback_is_allowed(self):
-        plan = callers.Plan(urls=('http://192.0.2.1:80',))
-        with self.assertRaises(ValueError):
-            callers.Callers(plan)
-
-    def test_verdicts_are_read_from_the_header(self):
-        self.assertEqual(
-            callers.parse_verdict('not-run; reason=rate_exceeded'),
-            ('not-run', 'rate_exceeded'),
-        )
-
-
-class FleetTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against processes that outlive the test that started them."""
-
-    async def test_starts_controls_and_ends_the_standins(self):
-        async with fleet.run_fleet(hosts=1, targets=1) as running:
-            server = running.targets[0]
-            await running.publish('tickets/1', 'ticket = 1')
-            await running.control(server.url, 'cold')
-            counters = await running.control(server.url, 'counters')
-            self.assertEqual(counters['state'], 'cold')
-            server.process.pause()
-        self.assertFalse(any(each.is_running for each in running.everything))
-        self.assertEqual(await server.process.wait(), 0)
-        self.assertEqual(await running.platform.wait(), 0)
-
-    async def test_a_crashed_target_can_be_started_again(self):
-        async with fleet.run_fleet(hosts=1, targets=1) as running:
-            server = running.targets[0]
-            await running.control(
-                server.url, 'behaviour', {'crash_marker': 'poison'}
-            )
-            async with httpx.AsyncClient(trust_env=False) as client:
-                with self.assertRaises(httpx.HTTPError):
-                    await client.post(server.url, content=b'poison')
-            status = await server.process.wait()
-            self.assertEqual(status, target.CRASH_STATUS)
-            await server.process.start()
-            await running.wait_until_ready(server.process, server.url)
