--- a/lavenderstile/exchanges.py
+++ b/lavenderstile/exchanges.py
@@ -220,8 +220,13 @@
         self._response = responses.TargetResponse(self, response, latency_s)
         raw = response.headers.raw
         echo = header_tools.find_header(raw, b'x-request-id')
-        is_own = self._pool.check_echo(echo, self._request_id)
-        if not is_own or not self._connection.has_received():
+        if not self._connection.has_received():
+            raise self.fail(
+                Outcome.CROSSED,
+                Verdict.MAY_HAVE_RUN,
+                'answer was there before its request',
+            )
+        if not self._pool.check_echo(echo, self._request_id):
             raise self.fail(
                 Outcome.CROSSED,
                 Verdict.MAY_HAVE_RUN,
