--- a/lavenderstile/membership.py
+++ b/lavenderstile/membership.py
@@ -136,12 +136,6 @@
         self._record_relays(peer, report.heard, now)
         return True
 
-    def record_failure(self, address):
-        """Record a call that the peer's address refused."""
-        peer = self._peers.get(address)
-        if peer is not None:
-            peer.succeeded_at = None
-
     def record_listing(self, hosts, now):
         """Record the platform's list: address -> (endpoint, leaving)."""
         for address, (endpoint, leaving) in hosts.items():
