Split the owner's task into rights, services and messages

The rights of a host, the services that it owns and the messages are modules of their own now; the task only passes messages on.

A requester that is cancelled at the moment of its grant left the slot taken until two reports were missing (more than 3 s); the grant is given back at once. test_a_grant_that_its_requester_misses_is_freed guards it: without the change the next request waits for ever.

--- a/lavenderstile/daemon.py
+++ b/lavenderstile/daemon.py
@@ -28,6 +28,7 @@
 from . import membership as membership_module
 from . import metrics as metrics_module
 from . import owner as owner_module
+from . import owner_messages
 from . import ownership
 from . import peer_exchange
 from . import peers
@@ -139,12 +140,12 @@
             self._configuration_task,
             self._ages,
         )
-        self._exchanges.set_sources(
+        self._exchanges.connect(
             self._slots.running_reports,
             lambda: self.readiness.may_own,
             self.readiness.record_synchronized,
         )
-        self._owner.set_sources(
+        self._owner.connect(
             self._slots.own_running, self._exchanges.start_exchange
         )
         self._probes = probe_task.ProbeTask(
@@ -305,7 +306,7 @@
             if pause_s > 0:
                 self.metrics.pauses.inc({})
                 eliot.log_message('pause_noticed', seconds=round(pause_s, 3))
-                self._owner.post(owner_module.Paused(pause_s))
+                self._owner.post(owner_messages.Paused(pause_s))
             self.readiness.update()
 
 
--- /dev/null
+++ b/lavenderstile/host_rights.py
@@ -0,0 +1,90 @@
+"""The rights of one host: its own, and those lent to it."""
+
+import eliot
+
+from . import rights
+
+
+class HostRights:
+    """Lends this host's rights and uses those that others lend to it."""
+
+    def __init__(self, clock, membership, configuration, owners, ages):
+        self._clock = clock
+        self._membership = membership
+        self._configuration = configuration
+        self._ownership = owners
+        self._ages = ages
+        self._generation = -1
+        self._heard_at = None
+        self._lender = rights.Lender(membership.address, clock.now())
+        self._borrower = rights.Borrower(
+            membership.address, membership.incarnation
+        )
+
+    @property
+    def lender(self):
+        """This host's own rights."""
+        return self._lender
+
+    @property
+    def borrower(self):
+        """The rights lent to this host."""
+        return self._borrower
+
+    def lend(self, request, now):
+        """Return the lease grant for a borrower."""
+        workspaces, services = self._ownership.lent_to(request.borrower, now)
+        return self._lender.grant(request, workspaces, services, now)
+
+    def lend_to_self(self, now):
+        """Borrow from this host's own rights what it owns itself."""
+        address = self._membership.address
+        grant = self.lend(self._borrower.make_request(address), now)
+        incarnation = self._membership.incarnation
+        self._borrower.accept(address, incarnation, now, grant, now)
+
+    def apply_configuration(self, now):
+        """Follow the configuration; return whether it has changed."""
+        configuration = self._configuration
+        if configuration.generation == self._generation:
+            return False
+        self._generation = configuration.generation
+        address = self._membership.address
+        addresses = configuration.fleet.addresses
+        rates, units = {}, frozenset()
+        if address in addresses:
+            rates = rights.share_rates(
+                configuration.workspaces.values(), addresses, address
+            )
+            units = rights.home_units(
+                address, configuration.services.values(), addresses
+            )
+        in_force_s = self._ages.get_age(configuration.digest, now)
+        self._lender.set_rights(
+            rates, units, now, in_force_s, configuration.fleet_version
+        )
+        return True
+
+    def check_news(self, now):
+        """Hold rights back after a time without any peer.
+
+        A list of addresses that was in force meanwhile may have moved this
+        host's rights and idempotency keys to other hosts. Return whether
+        that is possible.
+        """
+        heard_at, before = self._membership.heard_at, self._heard_at
+        if heard_at is None:
+            return False
+        self._heard_at = heard_at
+        if before is None or heard_at - before <= rights.MISSED_CHANGE_S:
+            return False
+        self._lender.hold_back(now)
+        eliot.log_message('rights_held_back', seconds=heard_at - before)
+        return True
+
+    def dump(self, now):
+        """Return the state as JSON-able data."""
+        return {
+            'lender': self._lender.dump(now),
+            'borrower': self._borrower.dump(now),
+        }
--- a/lavenderstile/peer_exchange.py
+++ b/lavenderstile/peer_exchange.py
@@ -6,7 +6,7 @@
 
 from . import errors
 from . import membership as membership_module
-from . import owner as owner_module
+from . import owner_messages
 from . import peers
 from . import wire
 from .proto import peer_pb2
@@ -31,16 +31,19 @@
         self._configuration = configuration_task.configuration
         self._tasks = {}
         self._fetching = set()
-        self._running_grants = tuple
-        self._is_ready = bool
-        self._on_synchronized = bool
+        self._running_grants = None
+        self._is_ready = None
+        self._on_synchronized = None
 
     def now(self):
         """Return the time on the host's clock."""
         return self._clock.now()
 
-    def set_sources(self, running_grants, is_ready, on_synchronized):
-        """Set what lists running grants and tells and takes readiness."""
+    def connect(self, running_grants, is_ready, on_synchronized):
+        """Set what lists running grants and tells and takes readiness.
+
+        Called before `run`.
+        """
         self._running_grants = running_grants
         self._is_ready = is_ready
         self._on_synchronized = on_synchronized
@@ -152,7 +155,7 @@
             return
         if reply.HasField('grant'):
             self._owner.post(
-                owner_module.Borrow(
+                owner_messages.Borrow(
                     report.address,
                     report.incarnation,
                     sent_at,
@@ -173,10 +176,10 @@
 
     async def _answer_borrower(self, request, report, reply):
         running = wire.unpack_running(request.running, report.address)
-        self._owner.post(owner_module.Adopt(report.address, tuple(running)))
+        self._owner.post(owner_messages.Adopt(report.address, tuple(running)))
         for summary in request.summaries:
             self._owner.post(
-                owner_module.Inherit(wire.unpack_summary(summary))
+                owner_messages.Inherit(wire.unpack_summary(summary))
             )
         borrow = wire.unpack_borrow(
             request.borrow, report.address, report.incarnation
--- a/lavenderstile/probe_task.py
+++ b/lavenderstile/probe_task.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from . import owner as owner_module
+from . import owner_messages
 from . import probes
 
 # How often the list of probed targets follows the owned services.
@@ -48,4 +48,4 @@
 
     async def _pass_hints(self):
         while True:
-            self._owner.post(owner_module.Hint(await self._hints.get()))
+            self._owner.post(owner_messages.Hint(await self._hints.get()))
--- /dev/null
+++ b/lavenderstile/service_owner.py
@@ -0,0 +1,186 @@
+"""The services that one host owns, and who waits for their slots."""
+
+import collections
+
+import eliot
+
+from . import admission
+from . import messages
+
+# Summaries of services that a successor has not needed for this long.
+SUMMARY_LIFETIME_S = 60.0
+
+
+class ServiceOwner:
+    """Admits requests to all services whose slot units this host holds.
+
+    Requests wait as futures, which are set when their service decides.
+    """
+
+    def __init__(self, address, configuration, borrower, metrics):
+        self._address = address
+        self._configuration = configuration
+        self._borrower = borrower
+        self._metrics = metrics
+        self._admissions = {}
+        self._units = {}
+        self._waiting = {}
+        self._summaries = {}
+
+    @property
+    def services(self):
+        """Names of the services that were admitted to here."""
+        return tuple(self._admissions)
+
+    def admit(self, request, reply, now):
+        """Decide on a request, now or later; `reply` gets the decision."""
+        owner = self._open(request.service, now)
+        result = owner.request(request, now)
+        match result:
+            case messages.Queued(request_id):
+                self._waiting[request_id] = (request.service, reply)
+            case _:
+                self._answer(request.service, result, reply, now)
+
+    def cancel(self, request_id, now):
+        """Take a request out of its queue."""
+        service, _ = self._waiting.pop(request_id, (None, None))
+        if service is not None:
+            self._admissions[service].cancel(request_id, now)
+
+    def abandon(self, service, result, now):
+        """Free a grant whose requester has gone before it got it."""
+        match result:
+            case messages.Grant(grant_id=grant_id, unit=unit):
+                report = messages.ReleaseReport(
+                    grant_id,
+                    self._address,
+                    unit,
+                    '',
+                    messages.Outcome.NOT_SENT,
+                )
+                self._admissions[service].release(report, now)
+
+    def release(self, report, now):
+        """Take a slot back."""
+        owner = self._open(report.unit.service, now)
+        owner.release(report, now)
+        self._poll(report.unit.service, owner, now)
+
+    def adopt(self, host, running, now):
+        """Learn of the complete list of grants that a host uses."""
+        by_service = collections.defaultdict(list)
+        for grant in running:
+            by_service[grant.unit.service].append(grant)
+        for service in set(by_service) | set(self._admissions):
+            self._open(service, now).adopt(
+                host, by_service.get(service, []), now
+            )
+
+    def lose_hosts(self, hosts, now):
+        """Plan the end of the grants of hosts that are gone."""
+        for owner in self._admissions.values():
+            for host in hosts:
+                owner.host_lost(host, now)
+
+    def hint(self, hint, now):
+        """Pass on what a target's endpoints said."""
+        owner = self._admissions.get(hint.service)
+        if owner is not None:
+            owner.hint(hint, now)
+
+    def drop_evidence(self, now):
+        """Forget evidence that spans a pause."""
+        for owner in self._admissions.values():
+            owner.drop_evidence(now)
+
+    def inherit(self, summary, now):
+        """Keep a service's summary for the case of succession."""
+        self._summaries[summary.service] = (summary, now)
+
+    def configure_all(self, now):
+        """Follow a change of the configuration."""
+        for service, owner in self._admissions.items():
+            self._configure(owner, service, now)
+
+    def step(self, now):
+        """Follow the units that this host holds, and decide what is due."""
+        for service in self._borrower.services(now):
+            self._open(service, now)
+        for service, owner in self._admissions.items():
+            self._update_units(service, owner, now)
+            self._poll(service, owner, now)
+
+    def evaluate(self, now):
+        """Review the targets, and forget summaries that nobody needed."""
+        for service, owner in self._admissions.items():
+            for event in owner.evaluate(now):
+                self._report(service, event)
+        for service, (_, since) in list(self._summaries.items()):
+            if now - since > SUMMARY_LIFETIME_S:
+                del self._summaries[service]
+
+    def summaries(self, now):
+        """Return the summaries of the services whose units are held here."""
+        return [
+            owner.summary(now)
+            for service, owner in self._admissions.items()
+            if self._borrower.units(service, now)
+        ]
+
+    def dump(self, now):
+        """Return the state as JSON-able data."""
+        return {
+            service: owner.dump(now)
+            for service, owner in sorted(self._admissions.items())
+        }
+
+    def explain_target(self, service, target, now):
+        """Return sentences on a target's state, or None if unknown."""
+        owner = self._admissions.get(service)
+        return None if owner is None else owner.explain_target(target, now)
+
+    def _open(self, service, now):
+        owner = self._admissions.get(service)
+        if owner is None:
+            owner = admission.ServiceAdmission(service, now)
+            self._admissions[service] = owner
+            self._configure(owner, service, now)
+            summary, _ = self._summaries.pop(service, (None, now))
+            if summary is not None:
+                owner.inherit(summary, now)
+        self._update_units(service, owner, now)
+        return owner
+
+    def _configure(self, owner, service, now):
+        configured = self._configuration.services.get(service)
+        if configured is not None:
+            owner.configure(configured, self._configuration.domains_out, now)
+
+    def _update_units(self, service, owner, now):
+        """Pass the usable units on if they are others than before."""
+        units = self._borrower.units(service, now)
+        if units is not self._units.get(service):
+            self._units[service] = units
+            owner.set_units(units, now)
+
+    def _answer(self, service, result, reply, now):
+        if reply.done():
+            self.abandon(service, result, now)
+        else:
+            reply.set_result(result)
+
+    def _poll(self, service, owner, now):
+        for decision in owner.poll(now):
+            _, reply = self._waiting.pop(decision.request_id, (None, None))
+            if reply is None:
+                self.abandon(service, decision.outcome, now)
+            else:
+                self._answer(service, decision.outcome, reply, now)
+
+    def _report(self, service, event):
+        name = type(event).__name__
+        self._metrics.target_events.inc({'service': service, 'event': name})
+        eliot.log_message(
+            'target_event', service=service, event=name, detail=str(event)
+        )
