--- a/lavenderstile/crashes.py
+++ b/lavenderstile/crashes.py
@@ -6,6 +6,8 @@
 
 MEMORY_S = 600.0
 MAX_DIGESTS = 4096
+# Notes go to a peer each second.
+MAX_NOTES = 100
 BLOCKING_TARGETS = 2
 # A service with a single target gives no second target to crash.
 BLOCKING_REPEATS = 3
@@ -102,13 +104,21 @@
                 known.targets.append(target)
 
     def notes(self, service, now):
-        """Return the register as notes for peers."""
+        """Return the register as notes for peers, refused digests first.
+
+        A successor that misses a suspect only starts to suspect it anew.
+        """
+        live = [
+            (known.blocking, known.last_at, digest, known)
+            for digest, known in self._records.items()
+            if now - known.last_at < MEMORY_S
+        ]
+        live.sort(key=lambda item: item[:3], reverse=True)
         return tuple(
             messages.CrashNote(
-                service, digest, tuple(known.targets), now - known.last_at
+                service, digest, tuple(known.targets), now - last_at
             )
-            for digest, known in self._records.items()
-            if now - known.last_at < MEMORY_S
+            for _, last_at, digest, known in live[:MAX_NOTES]
         )
 
     def _add(self, digest, record):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -76,6 +76,16 @@
         register.merge(messages.CrashNote('orders', 'bad', ('t2',), 1.0), 5.0)
         self.assertTrue(register.is_blocked('bad', 5.0))
 
+    def test_notes_are_few_and_begin_with_what_is_refused(self):
+        register = crashes.CrashRegister()
+        register.record('bad', 't1', 0.0)
+        register.record('bad', 't2', 1.0)
+        for number in range(500):
+            register.record(f'd{number}', 't1', 2.0)
+        notes = register.notes('orders', 3.0)
+        self.assertEqual(len(notes), crashes.MAX_NOTES)
+        self.assertEqual(notes[0].digest, 'bad')
+
     def test_old_notes_are_ignored(self):
         register = crashes.CrashRegister()
         register.merge(
