Refuse late requests without using up their workspace's turn

Cause: when the request at the head of a lane was late, its refusal counted as the lane's turn.

Change: late requests leave the heads of the lanes before a turn is given.

--- a/lavenderstile/admission.py
+++ b/lavenderstile/admission.py
@@ -299,6 +299,8 @@
             return messages.Decision(request.request_id, grant)
 
         while len(self._queue) and self._placement.has_room(now):
+            ready_at = now + self._pace.run_s
+            self._decide_shed(self._queue.drop_late(ready_at))
             decision = self._queue.pop(place)
             if decision is None:
                 break
@@ -309,9 +311,12 @@
             refusal = refusals.refuse_empty(self._name)
             for request in self._queue.requests:
                 self._refuse_queued(request, refusal)
-        for shed in self._queue.expire(
-            now, self._pace.interval_s, self._pace.run_s
-        ):
+        self._decide_shed(
+            self._queue.expire(now, self._pace.interval_s, self._pace.run_s)
+        )
+
+    def _decide_shed(self, shed_requests):
+        for shed in shed_requests:
             self._decisions.append(
                 messages.Decision(shed.request_id, shed.refusal)
             )
--- a/lavenderstile/queueing.py
+++ b/lavenderstile/queueing.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 from . import verdicts
 
@@ -106,6 +107,21 @@
             del self._lanes[workspace]
         return request
 
+    def drop_late(self, ready_at):
+        """Remove and return late requests at the heads of the lanes.
+
+        They would use up the turns of their workspaces. `ready_at` is when
+        a run that starts now ends.
+        """
+        late = [
+            (request.request_id, ready_at - request.deadline)
+            for lane in self._lanes.values()
+            for request in itertools.takewhile(
+                lambda request: request.deadline <= ready_at, lane.values()
+            )
+        ]
+        return [self._shed(request_id, late_s) for request_id, late_s in late]
+
     def expire(self, now, pace_s, run_s=0.0):
         """Remove and return the requests that cannot meet their deadline.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -186,6 +186,18 @@
         refusal = owner.poll()[waiting[1].request_id]
         self.assertIs(refusal.reason, verdicts.Reason.QUEUE_DEADLINE)
 
+    def test_a_late_request_does_not_use_up_a_turn(self):
+        """Guards against workspaces that lose turns to refusals."""
+        owner = fleets.Owner(fleets.make_service(1, 1))
+        grant = owner.ask()
+        owner.ask(workspace='long', wait_s=0.15)
+        due = owner.ask(workspace='long', wait_s=100.0)
+        owner.ask(workspace='short', wait_s=100.0)
+        owner.poll()
+        owner.now += 0.1
+        owner.release(grant)
+        self.assertIsInstance(owner.poll()[due.request_id], messages.Grant)
+
     def test_a_cancelled_request_gets_no_slot(self):
         owner = fleets.Owner(fleets.make_service(1, 1))
         grant = owner.ask()
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -129,6 +129,15 @@
         self.assertEqual(queue.expire(0.0, 0.1, 0.85), [])
         self.assertEqual(len(queue.expire(0.1, 0.1, 0.85)), 1)
 
+    def test_drops_late_heads_only(self):
+        queue = queueing.FairQueue()
+        for number, deadline in enumerate((1.0, 1.5, 9.0, 1.2)):
+            queue.push(make_request(number, 'a', deadline), 0.0, None)
+        queue.push(make_request(4, 'b', 9.0), 0.0, None)
+        dropped = [item.request_id for item in queue.drop_late(1.5)]
+        self.assertEqual(dropped, ['r0', 'r1'])
+        self.assertEqual(queue.lengths, {'a': 2, 'b': 1})
+
     def test_sheds_past_deadlines_without_a_known_pace(self):
         queue = queueing.FairQueue()
         queue.push(make_request(1, 'a', 1.0), 0.0, None)
