Measure planned and abrupt domain outages at a busy service

At 10 requests/s per target the loss of a third of the targets costs nothing and the scenario cannot fail. It sends 30 now. The table has one row for each figure, and the figures that a deployment weighs most come first.

--- a/tests/measure/__main__.py
+++ b/tests/measure/__main__.py
@@ -37,6 +37,11 @@
 FIFO = functools.partial(policies.OwnerPolicy, fifo=True)
 OWNER_OR_ROUND_ROBIN = {'product': PRODUCT, 'round robin': ROUND_ROBIN}
 RATES = {'product': False, 'fixed share': True}
+# What each deployment weighs most (section 1.2 of the design page).
+HEAVIEST = {
+    'federacion': ('fairness', 'domain'),
+    'segull': ('rates', 'gray', 'innocent'),
+}
 
 # Scenarios: function, variants with their argument, further arguments.
 SCENARIOS = {
@@ -57,7 +62,10 @@
         {**OWNER_OR_ROUND_ROBIN, 'fifo': FIFO},
         (),
     ),
-    'domain': (service.lose_domain, OWNER_OR_ROUND_ROBIN, ()),
+    **{
+        f'domain/{kind}': (service.lose_domain, OWNER_OR_ROUND_ROBIN, (kind,))
+        for kind in ('planned', 'abrupt')
+    },
     'cold': (service.fall_cold, OWNER_OR_ROUND_ROBIN, ()),
     **{
         f'rates/{event}': (rate_run.run_rates, RATES, (event,))
@@ -102,24 +110,34 @@
 
 
 def format_table(tree):
-    """Return the figures as a Markdown table for each deployment."""
+    """Return a Markdown table for each deployment, by its weighting."""
     lines = []
     for deployment, scenarios in tree.items():
-        lines += [f'## {deployment}', '']
-        lines += [
-            '| scenario | figure | variant | value |',
-            '|---|---|---|---|',
-        ]
-        lines += [
-            f'| {scenario} | {figure} | {variant} | {results[figure]} |'
-            for scenario, variants in scenarios.items()
-            for figure in next(iter(variants.values()))
-            for variant, results in variants.items()
-        ]
+        heaviest = HEAVIEST[deployment]
+        order = sorted(
+            scenarios, key=lambda name: name.partition('/')[0] not in heaviest
+        )
+        lines += [f'## {deployment}: {" and ".join(heaviest)} weigh most', '']
+        lines += ['| scenario | figure | product | baselines |']
+        lines += ['|---|---|---|---|']
+        for scenario in order:
+            lines += format_scenario(scenario, scenarios[scenario])
         lines.append('')
     return '\n'.join(lines)
 
 
+def format_scenario(scenario, variants):
+    """Return the table rows of a scenario; the product comes first."""
+    product, *baselines = variants
+    rows = []
+    for figure, value in variants[product].items():
+        others = '; '.join(
+            f'{name} {variants[name][figure]}' for name in baselines
+        )
+        rows.append(f'| {scenario} | {figure} | {value} | {others} |')
+    return rows
+
+
 def main():
     """Run the program."""
     parser = argparse.ArgumentParser(prog='tests.measure', description=__doc__)
--- a/tests/measure/service_scenarios.py
+++ b/tests/measure/service_scenarios.py
@@ -18,7 +18,10 @@
 # Until here the queue fills up.
 WARM_S = 10.0
 LEAVE_S, RETURN_S = 30.0, 60.0
+# A planned outage begins this long after the ticket, others before it.
 NOTICE_S = 3.0
+# Requests a second per target, over half of the capacity.
+BUSY_RATE = 30.0
 
 
 def detect(deployment, seed, length, policy, kind):
@@ -115,25 +118,28 @@
     }
 
 
-def lose_domain(deployment, seed, length, policy):
+def lose_domain(deployment, seed, length, policy, kind):
     """Return the service while a failure domain leaves and returns."""
     lost = sizes.DOMAINS[1]
     service = deployment.services()[0]
 
+    down_s = LEAVE_S + (NOTICE_S if kind == 'planned' else -NOTICE_S)
+
     def behave(target, host):
-        down = LEAVE_S + NOTICE_S <= run.engine.elapsed < RETURN_S
+        down = down_s <= run.engine.elapsed < RETURN_S
         if down and target.domain == lost:
             return targets.Behaviour(refuses=True)
         return targets.HEALTHY
 
+    demands = service_run.spread_load(service, BUSY_RATE)
     run = service_run.ServiceRun(
-        seed, deployment, service, policy, behave=behave
+        seed, deployment, service, policy, demands, behave
     )
     _plan_outage(run, lost)
     run.engine.run(RETURN_S + 40.0)
-    usual = run.latency(5.0, LEAVE_S)
-    outage = run.latency(LEAVE_S, RETURN_S + 30.0)
-    asked, failed = run.count_failed(LEAVE_S, RETURN_S + 30.0)
+    usual = run.latency(5.0, LEAVE_S - NOTICE_S)
+    outage = run.latency(LEAVE_S - NOTICE_S, RETURN_S + 30.0)
+    asked, failed = run.count_failed(LEAVE_S - NOTICE_S, RETURN_S + 30.0)
     return {
         'requests failed %': round(100 * failed / asked, 3),
         'p99 before s': usual.percentile(99),
@@ -187,7 +193,7 @@
 def fall_cold(deployment, seed, length, policy):
     """Return the overrun of targets that fall back into cold start."""
     service = deployment.services()[0]
-    demands = service_run.spread_load(service, 30.0)
+    demands = service_run.spread_load(service, BUSY_RATE)
     run = service_run.ServiceRun(seed, deployment, service, policy, demands)
     for number, target in enumerate(run.targets.values()):
         run.engine.after(5.0 + 3.0 * number, target.fall_cold)
