Close gaps in the forwarder's tests that mutations showed

Cause: 5 of 24 mutations of the forwarder in a scratch copy passed its tests: the echo rule, the pieces of uploads, two rules about the caller's fault and the check for status 101.

The check for 101 is removed: the HTTP library refuses an unrequested change of protocol itself, which test_a_change_of_protocol_is_refused_before_its_head now guards.

--- a/lavenderstile/responses.py
+++ b/lavenderstile/responses.py
@@ -57,8 +57,6 @@
     An answer that only the end of its connection delimits looks complete
     when the target dies in the middle of it.
     """
-    if status == 101:
-        return False
     if method == 'HEAD' or status in EMPTY_STATUSES:
         return True
     return (
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -1,7 +1,9 @@
 """Tests of uploads and of the blame for their faults."""
 
 import asyncio
+import random
 
+from lavenderstile import bodies
 from lavenderstile import errors
 from lavenderstile import messages
 from lavenderstile import verdicts
@@ -49,6 +51,34 @@
         await server.state.wait_for(lambda state: state.runs[0].end)
         self.assertEqual(server.state.runs[0].end, 'broken_request')
 
+    async def test_a_short_stall_at_the_deadline_is_the_callers_fault(self):
+        _, address = await self.start_target()
+        await self.forwarder.set_limits({address: 1})
+
+        async def stall_half_way():
+            yield b'half'
+            await asyncio.Event().wait()
+
+        # Most of the time passes while the request waits its turn.
+        waited_s = 20.0
+        async with self.open(address) as response:
+            call = asyncio.create_task(
+                self.call(
+                    address,
+                    b'/',
+                    'POST',
+                    stall_half_way(),
+                    deadline=self.clock.now() + waited_s + cases.SHORT_S,
+                )
+            )
+            await asyncio.sleep(0)
+            self.clock.advance(waited_s)
+            async for _ in response:
+                pass
+        await self.assert_fails(
+            messages.Outcome.CANCELLED, verdicts.Verdict.MAY_HAVE_RUN, call
+        )
+
     async def test_a_body_of_another_length_is_broken(self):
         server, address = await self.start_target()
         for length in (b'3', b'9'):
@@ -75,6 +105,22 @@
                     self.clock.advance(cases.LIMIT_S)
         self.assertEqual(caught.exception.outcome, messages.Outcome.CANCELLED)
 
+    async def test_a_caller_that_is_late_at_the_deadline_is_at_fault(self):
+        server, address = await self.start_target(stalled_body_share=1.0)
+        path = b'/?work_ms=50'
+        opening = asyncio.create_task(self.read_late(address, path))
+        await server.state.wait_for(lambda state: state.running == 1)
+        # Most of the time passes while the target works.
+        self.clock.advance(cases.LIMIT_S * 0.9)
+        await self.assert_fails(
+            messages.Outcome.CANCELLED, verdicts.Verdict.MAY_HAVE_RUN, opening
+        )
+
+    async def read_late(self, address, path):
+        async with self.open(address, path) as response:
+            async for _ in response:
+                self.clock.advance(cases.LIMIT_S * 0.1)
+
     async def test_a_target_that_resets_half_way_is_to_blame(self):
         server, address = await self.start_target()
 
@@ -125,6 +171,13 @@
 class FlowTest(cases.ForwardingCase):
     """Guards against bodies that pile up in this process."""
 
+    async def test_large_chunks_are_sent_in_pieces(self):
+        chunk = random.Random(3).randbytes(200_000)
+        body = bodies.RequestBody(self.clock, cases.iterate(chunk), None)
+        pieces = [piece async for piece in body]
+        self.assertEqual(b''.join(pieces), chunk)
+        self.assertLessEqual(max(map(len, pieces)), 64 * 1024)
+
     async def test_an_upload_waits_for_a_target_that_does_not_read(self):
         listener = serving.bind_socket()
         self.addCleanup(listener.close)
