Add load runs with real processes and count calls to peers

python -m tests.load measures added latency and processor time per request, daemons at rest by the size of the fleet, and daemons with growing configurations. Bytes between hosts are counted as message sizes in PeerClients, since interface counters of the loopback device include other processes.

--- a/lavenderstile/host.py
+++ b/lavenderstile/host.py
@@ -16,7 +16,7 @@
         self._clock = clock
         self._membership = membership
         self._metrics = metrics
-        self._clients = peers.PeerClients()
+        self._clients = peers.PeerClients(metrics)
         self._background = set()
 
     @property
--- a/lavenderstile/metrics.py
+++ b/lavenderstile/metrics.py
@@ -25,6 +25,15 @@
             'lavenderstile_exchanges_total',
             'Exchanges started with peers, by result (ok, failed).',
         )
+        self.peer_calls = self._counter(
+            'lavenderstile_peer_calls_total',
+            'Answered calls to peers, by method.',
+        )
+        self.peer_bytes = self._counter(
+            'lavenderstile_peer_bytes_total',
+            'Bytes of the messages of answered calls to peers, without'
+            ' framing, by method and direction (sent, received).',
+        )
         self.pauses = self._counter(
             'lavenderstile_pauses_total',
             'Pauses of the process of one second or longer.',
--- a/lavenderstile/peers.py
+++ b/lavenderstile/peers.py
@@ -35,7 +35,8 @@
 class PeerClients:
     """Channels to peers, by the endpoint of their peer listener."""
 
-    def __init__(self):
+    def __init__(self, metrics):
+        self._metrics = metrics
         self._channels = {}
         # Making a stub takes about 0.1 ms, so it is kept with its channel.
         self._stubs = {}
@@ -55,11 +56,21 @@
         """Call a peer; raise PeerError when there is no answer."""
         method = getattr(self.stub(endpoint), name)
         try:
-            return await method(request, timeout=timeout_s)
+            reply = await method(request, timeout=timeout_s)
         except grpc.aio.AioRpcError as error:
             raise errors.PeerError(
                 f'{name} at {endpoint}: {error.code().name}'
             ) from error
+        self.count(name, request, reply)
+        return reply
+
+    def count(self, name, request, reply):
+        """Count an answered call and the bytes of its messages."""
+        self._metrics.peer_calls.inc({'method': name})
+        for direction, message in (('sent', request), ('received', reply)):
+            self._metrics.peer_bytes.add(
+                {'method': name, 'direction': direction}, message.ByteSize()
+            )
 
     async def forget(self, endpoints):
         """Close the channels of all other endpoints."""
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and capacity runs with real processes on loopback addresses."""
--- /dev/null
+++ b/tests/load/request_run.py
@@ -0,0 +1,86 @@
+"""Requests through one host of a fleet, compared with direct calls."""
+
+import asyncio
+
+from . import fleets
+from . import rest_run
+from . import samples
+from ..standins import callers
+
+PERCENTILES = (50, 99, 99.9)
+
+# Cold targets take one request at a time, so the first requests of a fleet
+# do not count.
+WARM_UP = 300
+
+
+async def run_rates(size, targets, rates, count, rounds, seed):
+    """Return a row of figures for each rate and round."""
+    rows = []
+    async with fleets.run_fleet(size, targets) as fleet:
+        await asyncio.sleep(rest_run.SETTLE_S)
+        owners = await fleets.find_owners(fleet)
+        entry = next(host for host in fleet.hosts if host not in owners)
+        await _call([entry.caller_url], rates[0], WARM_UP, seed)
+        rest = await samples.measure(fleet.hosts, 10.0)
+        for rate in rates:
+            for number in range(rounds):
+                row = {'rate': rate, 'round': number + 1}
+                figures = await _compare(
+                    fleet, entry, owners, rest, rate, count, seed + number
+                )
+                rows.append(row | figures)
+    return rows
+
+
+async def _call(urls, rate, count, seed):
+    plan = callers.Plan(
+        urls=tuple(urls),
+        path=fleets.PATH,
+        key=fleets.KEY,
+        rate=rate,
+        count=count,
+        duration_s=callers.DURATION_LIMIT_S,
+        connections=64,
+        seed=seed,
+    )
+    return await callers.Callers(plan).run()
+
+
+async def _compare(fleet, entry, owners, rest, rate, count, seed):
+    """Call the targets directly, then through the entry host."""
+    direct = await _call([t.url for t in fleet.targets], rate, count, seed)
+    before = await samples.read_samples(fleet.hosts)
+    through = await _call([entry.caller_url], rate, count, seed)
+    after = await samples.read_samples(fleet.hosts)
+    spent_ms = split_cpu(fleet.hosts, before, after, rest, count)
+    row = {
+        'answered': through.count(kind='answered'),
+        'direct_answered': direct.count(kind='answered'),
+    }
+    for percentile in PERCENTILES:
+        base = direct.get_percentile_ms('answered', percentile)
+        value = through.get_percentile_ms('answered', percentile)
+        row[f'direct_p{percentile}_ms'] = base
+        row[f'added_p{percentile}_ms'] = round(value - base, 2)
+    by_address = dict(zip((h.address for h in fleet.hosts), spent_ms))
+    entry_ms = by_address[entry.address]
+    owners_ms = sum(by_address[a] for a in {h.address for h in owners})
+    return row | {
+        'entry_cpu_ms': round(entry_ms, 3),
+        'owners_cpu_ms': round(owners_ms, 3),
+        'others_cpu_ms': round(sum(spent_ms) - entry_ms - owners_ms, 3),
+        'load': samples.read_load(),
+    }
+
+
+def split_cpu(hosts, before, after, rest, count):
+    """Return each host's processor time per request over its rest, in ms."""
+    used = samples.compute_rates(before, after)
+    return [
+        (use['core_share'] - idle['core_share'])
+        * (new.at - old.at)
+        * 1000
+        / count
+        for use, idle, old, new in zip(used, rest, before, after, strict=True)
+    ]
--- /dev/null
+++ b/tests/load/rest_run.py
@@ -0,0 +1,24 @@
+"""Daemons at rest: processor time, memory, and messages between hosts."""
+
+import asyncio
+
+from . import fleets
+from . import samples
+
+# Rights need a quarantine of 3.3 s and a growth delay of 8.3 s.
+SETTLE_S = 15.0
+
+
+async def run_sizes(sizes, rounds, duration_s):
+    """Return the means per host for each size of the fleet."""
+    rows = []
+    for size in sizes:
+        async with fleets.run_fleet(size, 3) as fleet:
+            await asyncio.sleep(SETTLE_S)
+            for number in range(rounds):
+                rates = await samples.measure(fleet.hosts, duration_s)
+                rows.append(
+                    {'hosts': size, 'round': number + 1}
+                    | samples.summarize(rates)
+                )
+    return rows
--- /dev/null
+++ b/tests/load/state_run.py
@@ -0,0 +1,91 @@
+"""Daemons at rest with growing numbers of configured objects."""
+
+import asyncio
+import types
+
+import httpx
+
+from . import fleets
+from . import rest_run
+from . import samples
+from ..standins import tickets
+
+HOSTS = 3
+SERVICE_TARGETS = 18
+WAIT_LIMIT_S = 240.0
+
+# Objects per ticket, which keep each value well under 1 MB.
+CHUNK = {'workspaces': 2000, 'routes': 4000, 'targets': 1800}
+
+
+def format_objects(kind, numbers):
+    """Return the tables of some objects of a kind."""
+    match kind:
+        case 'workspaces':
+            return [
+                tickets.format_workspace(f'w-{n}', f'key-{n}', 500.0, 250.0)
+                for n in numbers
+            ]
+        case 'routes':
+            return [
+                tickets.format_route(f'r-{n}', f'/area/{n}', 'load')
+                for n in numbers
+            ]
+    return [
+        tickets.format_service(
+            f's-{first}',
+            [_make_target(n) for n in range(first, first + SERVICE_TARGETS)],
+            timeout_ms=10_000,
+        )
+        for first in numbers[::SERVICE_TARGETS]
+    ]
+
+
+def _make_target(number):
+    """Return a target at an address that nothing listens on."""
+    address = f'127.254.{number // 200 % 250}.{number % 200 + 1}:9'
+    return types.SimpleNamespace(address=address, domain='domain-a')
+
+
+async def run_steps(steps, rounds, duration_s):
+    """Return the means per host after each step of (kind, count)."""
+    rows, number = [], 1
+    totals = dict.fromkeys(CHUNK, 0)
+    async with fleets.run_fleet(HOSTS, 3) as fleet:
+        await asyncio.sleep(rest_run.SETTLE_S)
+        rows += await _measure(fleet, totals, rounds, duration_s)
+        for kind, count in steps:
+            last = totals[kind] + count
+            while totals[kind] < last:
+                end = min(last, totals[kind] + CHUNK[kind])
+                tables = format_objects(kind, range(totals[kind], end))
+                number += 1
+                await fleet.publish(
+                    f'tickets/{number:06}',
+                    tickets.format_ticket(number, *tables),
+                )
+                totals[kind] = end
+            await _wait_for_ticket(fleet, number)
+            await asyncio.sleep(rest_run.SETTLE_S)
+            rows += await _measure(fleet, totals, rounds, duration_s)
+    return rows
+
+
+async def _wait_for_ticket(fleet, number):
+    """Wait until the newest ticket is in force on each host."""
+    async with (
+        asyncio.timeout(WAIT_LIMIT_S),
+        httpx.AsyncClient(trust_env=False, timeout=60) as client,
+    ):
+        for host in fleet.hosts:
+            url = f'{host.admin_url}/-/configuration'
+            while (await client.get(url)).json()['newest'] != number:
+                await asyncio.sleep(1)
+
+
+async def _measure(fleet, totals, rounds, duration_s):
+    rows = []
+    for number in range(rounds):
+        rates = await samples.measure(fleet.hosts, duration_s)
+        rows.append(totals | {'round': number + 1} | samples.summarize(rates))
+    return rows
