Judge targets without samples at once

Change: such a target gets its judgement (no failures, no median) without counting hosts and failures. The result is the same.

--- a/lavenderstile/evidence.py
+++ b/lavenderstile/evidence.py
@@ -186,6 +186,8 @@
     def _judge_one(self, target, shares):
         own = self._long[target]
         peer_median = _median_of_others(self._medians, target)
+        if not own:
+            return Judgement(target, 0, 0, None, peer_median)
         found = None
         for window, window_shares in zip((self._short, self._long), shares):
             peer_share = _median_of_others(window_shares, target)
