--- a/tests/load/__main__.py
+++ b/tests/load/__main__.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import pathlib
+import signal
 
 from . import request_run
 from . import rest_run
@@ -79,6 +80,15 @@
     )
 
 
+async def run_until_signal(options):
+    """Run; a signal cancels the run, which then ends its processes."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    return await run(options)
+
+
 def format_table(rows):
     """Return rows of figures as text for people."""
     names = list(rows[0])
@@ -94,7 +104,7 @@
     """Run the program."""
     options = build_parser().parse_args(arguments)
     check(options)
-    rows = asyncio.run(run(options))
+    rows = asyncio.run(run_until_signal(options))
     print(format_table(rows))
     if options.json is not None:
         options.json.write_text(json.dumps(rows, indent=1) + '\n')
