--- a/tests/load/__main__.py
+++ b/tests/load/__main__.py
@@ -84,8 +84,14 @@
     """Run; a signal cancels the run, which then ends its processes."""
     task = asyncio.current_task()
     loop = asyncio.get_running_loop()
+
+    def cancel():
+        # A second signal must not cancel the end of the processes.
+        if not task.cancelling():
+            task.cancel()
+
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, task.cancel)
+        loop.add_signal_handler(number, cancel)
     return await run(options)
 
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,7 +1,10 @@
 """Tests of the load runs."""
 
 import argparse
+import asyncio
+import os
 import pathlib
+import tempfile
 import unittest
 
 from .load import __main__ as program
@@ -9,6 +12,7 @@
 from .load import request_run
 from .load import samples
 from .load import state_run
+from .standins import processes
 from lavenderstile import metrics
 from lavenderstile import peers
 from lavenderstile.proto import peer_pb2
@@ -102,3 +106,31 @@
             text = fleets.tickets.format_ticket(2, *tables)
             self.assertLess(len(text), 1_000_000, kind)
             tickets.parse_ticket(text, kind)
+
+
+class EndTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against runs that leave processes behind."""
+
+    async def test_a_signal_ends_all_processes(self):
+        with tempfile.TemporaryDirectory() as directory:
+            run = processes.Process(
+                'load',
+                ['tests.load', 'rest', '--sizes', '3'],
+                pathlib.Path(directory) / 'load.log',
+            )
+            await run.start()
+            try:
+                children = await self.wait_for_children(run.pid, 7)
+            finally:
+                await run.stop(limit_s=60)
+        for pid in children:
+            with self.assertRaises(ProcessLookupError):
+                os.kill(pid, 0)
+
+    async def wait_for_children(self, pid, count):
+        """Return the ids of a platform, three targets and three hosts."""
+        path = pathlib.Path(f'/proc/{pid}/task/{pid}/children')
+        async with asyncio.timeout(60):
+            while len(path.read_text().split()) < count:
+                await asyncio.sleep(0.05)
+        return [int(child) for child in path.read_text().split()]
