Review a loan only after a change

Cause: each grant examined all rights of the lender twice, also when a renewal changed nothing.

Change: a lender counts the changes of its rights (shares, growth, rights that came home). A lease remembers the count and the owned objects of its last review and is reviewed again when one of them differs. Rights that are gone are dropped with a change instead of at each call.

A test for rights that were returned was missing; without the review after a return, only the new test fails.

--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -193,7 +193,8 @@
     """A lease as its lender knows it.
 
     `removed` maps each right that left the list, but that the borrower may
-    still use, to the version that left it out.
+    still use, to the version that left it out. `reviewed` tells for which
+    rights and owned objects the list was made.
     """
 
     __slots__ = (
@@ -203,6 +204,7 @@
         'items',
         'lease_id',
         'removed',
+        'reviewed',
         'until',
         'version',
     )
@@ -215,6 +217,7 @@
         self.acknowledged = 0
         self.items = {}
         self.removed = {}
+        self.reviewed = None
         self.until = 0.0
 
     def holds(self):
@@ -230,6 +233,7 @@
 
     __slots__ = (
         '_address',
+        '_changes',
         '_ended',
         '_last_lease_id',
         '_leases',
@@ -243,6 +247,8 @@
         # before it ended.
         self._quarantine_until = now + LENDER_HOLD_S
         self._rights = {}
+        # Count of changes to shares and of rights that came home.
+        self._changes = 0
         self._leases = {}
         # Leases of earlier incarnations of borrowers, until their end.
         self._ended = []
@@ -268,6 +274,7 @@
         for key in [*wanted, *(self._rights.keys() - wanted.keys())]:
             self._set_right(key, wanted.get(key, NO_SHARE), grow_at, now)
         self._settle(now)
+        self._record_change()
 
     def grant(self, request, owned_workspaces, owned_services, now):
         """Answer a borrower that owns the given workspaces and services."""
@@ -302,7 +309,7 @@
         }
         for key in lease.holds():
             self._rights[key].come_home(now, tokens.get(key, 0))
-        self._drop_gone()
+        self._record_change()
 
     def dump(self, now):
         """Return the state for the admin API."""
@@ -371,18 +378,24 @@
             right.growth.at = min(right.growth.at, grow_at)
 
     def _settle(self, now):
+        has_changed = False
         for lease in [*self._leases.values(), *self._ended]:
             if lease.until <= now:
+                has_changed = True
                 self._forget_lease(lease)
                 for key in lease.holds():
                     self._rights[key].come_home(lease.until, 0)
         for right in self._rights.values():
             if right.growth is not None and right.growth.at <= now:
+                has_changed = True
                 right.set_share(right.growth.share, right.growth.at)
                 right.growth = None
-        self._drop_gone()
+        if has_changed:
+            self._record_change()
 
-    def _drop_gone(self):
+    def _record_change(self):
+        """Let all leases be reviewed, and drop rights that are gone."""
+        self._changes += 1
         gone = [key for key, right in self._rights.items() if right.is_gone]
         for key in gone:
             del self._rights[key]
@@ -433,8 +446,16 @@
         for key in stopped:
             del lease.removed[key]
             self._rights[key].come_home(now, 0)
+        if stopped:
+            self._record_change()
 
     def _update_items(self, lease, owned_workspaces, owned_services, now):
+        owned_workspaces = frozenset(owned_workspaces)
+        owned_services = frozenset(owned_services)
+        reviewed = (self._changes, owned_workspaces, owned_services)
+        if reviewed == lease.reviewed:
+            return
+        lease.reviewed = reviewed
         items = {}
         for key, right in self._rights.items():
             if right.share == NO_SHARE:
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -276,6 +276,17 @@
         successor.exchange(FULL + 3.3)
         self.assertEqual(self.units(FULL + 3.3, successor), {UNIT})
 
+    def test_next_owner_gets_returned_rights_at_once(self):
+        self.link.exchange(FULL)
+        successor = Link(self.lender, 'c')
+        successor.exchange(FULL + 1)
+        self.assertEqual(self.units(FULL + 1, successor), frozenset())
+        self.lender.take_back(
+            self.link.borrower.make_returns(FULL + 1)['a'], FULL + 1
+        )
+        successor.exchange(FULL + 1.5)
+        self.assertEqual(self.units(FULL + 1.5, successor), {UNIT})
+
     def test_older_version_is_ignored_after_the_lease_ended(self):
         # The request at 12 overtakes the one at 11, so the lender's answer
         # to it is the older version. It arrives after the newer one, which
