Serve the demonstration's ticket in a stand-in fleet without one

Tickets need the addresses, which are only known once the fleet runs.

test_the_program_serves_the_demonstration waits for ready and reads the ticket number of the host.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -2,9 +2,10 @@
 
     python -m tests.standins.fleet --hosts 3 --targets 3
 
-runs a fleet until SIGINT or SIGTERM and prints the addresses. Tests use
-`run_fleet`. Addresses are 127.<net>.<kind>.<number>, where <net> is a number
-that no other fleet on this machine uses.
+runs a fleet until SIGINT or SIGTERM and prints the addresses. Without
+`--ticket` it publishes the demonstration's ticket. Tests use `run_fleet`.
+Addresses are 127.<net>.<kind>.<number>, where <net> is a number that no
+other fleet on this machine uses.
 """
 
 import argparse
@@ -20,6 +21,7 @@
 
 from . import processes
 from . import serving
+from . import tickets
 
 DOMAINS = ('domain-a', 'domain-b', 'domain-c')
 
@@ -268,6 +270,8 @@
     async with run_fleet(options.hosts, options.targets) as fleet:
         for path in options.ticket:
             await fleet.publish(f'tickets/{path.stem}', path.read_text())
+        if not options.ticket:
+            await fleet.publish('tickets/1', tickets.format_demo_ticket(fleet))
         await fleet.start_hosts()
         await fleet.wait_for_hosts()
         print(f'platform {fleet.platform_url}')
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import sys
 import unittest
 
 import httpx
@@ -365,3 +366,25 @@
             self.assertEqual(status, target.CRASH_STATUS)
             await server.process.start()
             await running.wait_until_ready(server.process, server.url)
+
+    async def test_the_program_serves_the_demonstration(self):
+        """Guards against hosts without a ticket, which are never ready."""
+        program = await asyncio.create_subprocess_exec(
+            *(sys.executable, '-m', 'tests.standins.fleet'),
+            *('--hosts', '1', '--targets', '1'),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            lines = []
+            while b'ready\n' not in lines:
+                lines.append(await program.stdout.readline())
+                self.assertTrue(lines[-1], lines)
+            (host,) = [line for line in lines if line.startswith(b'host ')]
+            admin_url = host.decode().split()[2]
+            async with httpx.AsyncClient(trust_env=False) as client:
+                answer = await client.get(f'{admin_url}/-/configuration')
+            self.assertEqual(answer.json()['newest'], 1)
+        finally:
+            program.terminate()
+            status = await program.wait()
+        self.assertEqual(status, 0)
