--- a/lavenderstile/membership.py
+++ b/lavenderstile/membership.py
@@ -136,12 +136,6 @@
         self._record_relays(peer, report.heard, now)
         return True
 
-    def record_failure(self, address):
-        """Record a call that the peer's address refused."""
-        peer = self._peers.get(address)
-        if peer is not None:
-            peer.succeeded_at = None
-
     def record_listing(self, hosts, now):
         """Record the platform's list: address -> (endpoint, leaving)."""
         for address, (endpoint, leaving) in hosts.items():
@@ -195,6 +189,16 @@
             return PeerState.RELAYED
         return PeerState.DEAD
 
+    @property
+    def heard_at(self):
+        """Time of the last completed exchange with any peer, or None."""
+        moments = [
+            peer.succeeded_at
+            for peer in self._peers.values()
+            if peer.succeeded_at is not None
+        ]
+        return max(moments, default=None)
+
     def heard(self, now):
         """Return the peers whose exchanges succeeded lately."""
         return tuple(
--- a/lavenderstile/owner.py
+++ b/lavenderstile/owner.py
@@ -147,6 +147,8 @@
         self._generation = -1
         self._evaluated_at = now
         self._running_source = tuple
+        self._acknowledge = str
+        self._heard_at = None
 
     @property
     def lender(self):
@@ -158,9 +160,14 @@
         """The rights lent to this host; read only outside the task."""
         return self._borrower
 
-    def set_running_source(self, source):
-        """Set the function that lists this host's own running grants."""
-        self._running_source = source
+    def set_sources(self, running_source, acknowledge):
+        """Set what lists running grants and what starts an exchange.
+
+        `acknowledge` is called with a lender that waits for the news that
+        this host no longer uses some of its rights.
+        """
+        self._running_source = running_source
+        self._acknowledge = acknowledge
 
     # Requests from other tasks.
 
@@ -267,7 +274,10 @@
             case Lend(request, reply):
                 self._lend(request, reply, now)
             case Borrow(lender, incarnation, sent_at, grant):
-                self._borrower.accept(lender, incarnation, sent_at, grant, now)
+                if self._borrower.accept(
+                    lender, incarnation, sent_at, grant, now
+                ):
+                    self._acknowledge(lender)
             case TakeBack(returned):
                 self._lender.take_back(returned, now)
             case Adopt(host, running):
@@ -281,8 +291,10 @@
                 _answer(reply, self._claim_home.claim(request, unix))
             case EndClaim(end):
                 self._claim_home.end(end, self._clock.unix())
-            case Paused():
+            case Paused(duration_s):
                 self._drop_evidence(now)
+                if duration_s > rights.MISSED_CHANGE_S:
+                    self._claim_home.hold_back(self._clock.unix())
             case Tick():
                 self._tick(now)
 
@@ -392,13 +404,15 @@
         rates, units = {}, frozenset()
         if self.address in addresses:
             rates = rights.share_rates(
-                configuration.workspaces.values(), addresses
+                configuration.workspaces.values(), addresses, self.address
             )
             units = rights.home_units(
                 self.address, configuration.services.values(), addresses
             )
         in_force_s = self._ages.get_age(configuration.digest, now)
-        self._lender.set_rights(rates, units, now, in_force_s)
+        self._lender.set_rights(
+            rates, units, now, in_force_s, configuration.fleet_version
+        )
         self._claim_home.set_window(configuration.fleet.claim_window_s)
         self._claim_home.set_fleet(
             configuration.fleet_version, self._clock.unix()
@@ -418,7 +432,25 @@
 
     # Time.
 
+    def _check_news(self, now):
+        """Hold rights back after a time without any peer.
+
+        A list of addresses that was in force meanwhile may have moved this
+        host's rights and idempotency keys to other hosts.
+        """
+        heard_at = self._membership.heard_at
+        if heard_at is None:
+            return
+        if self._heard_at is not None:
+            missed_s = heard_at - self._heard_at
+            if missed_s > rights.MISSED_CHANGE_S:
+                self._lender.hold_back(now)
+                self._claim_home.hold_back(self._clock.unix())
+                eliot.log_message('rights_held_back', seconds=missed_s)
+        self._heard_at = heard_at
+
     def _tick(self, now):
+        self._check_news(now)
         self._apply_configuration(now)
         self._lend_to_self(now)
         for service in self._borrower.services(now):
--- a/lavenderstile/rights.py
+++ b/lavenderstile/rights.py
@@ -20,9 +20,16 @@
 LENDER_HOLD_S = 3.3
 # Stated limit for a configuration change to be in force on every host.
 SPREAD_LIMIT_S = 5.0
-# A larger share waits until the hosts whose shares get smaller know of the
-# change and the leases that they granted before have ended.
-GROWTH_DELAY_S = SPREAD_LIMIT_S + LENDER_HOLD_S
+# A larger share under a new list of addresses waits from its publishing on
+# until the hosts whose shares get smaller know of it and the leases that they
+# granted before have ended (`SPREAD_LIMIT_S + LENDER_HOLD_S`). It waits
+# somewhat longer, so that a list that was replaced before some hosts learned
+# it is replaced here, too, before its larger shares apply.
+GROWTH_DELAY_S = 2 * SPREAD_LIMIT_S
+# A lender that was not called for this long, while it is called every second
+# otherwise, may have missed a list. It is less than `SPREAD_LIMIT_S` by more
+# than the drift of clocks.
+MISSED_CHANGE_S = 4.0
 
 # Most pools of one workspace, and the least burst for each. With four pools
 # an owner's death refuses less than a tenth of what it refuses with one. A
@@ -30,6 +37,11 @@
 MAX_OWNERS = 4
 OWNER_BURST = 12
 
+# How long a borrower remembers a lease that has ended. It must be longer than
+# any request can take to arrive: one that arrives later renews the lease, and
+# its tokens would be counted again.
+LEASE_MEMORY_S = 600.0
+
 # Shares are pairs of rate and burst in millionths.
 NO_SHARE = (0, 0)
 # Share of a slot unit that is homed here, in the form of a rate's share.
@@ -39,24 +51,37 @@
 NO_GRANT = messages.LeaseGrant(0, 0, 0.0, ())
 
 
-def share_rates(workspaces, fleet_addresses):
+def share_rates(workspaces, fleet_addresses, address=None):
     """Return one host's share of each workspace's rate and burst.
 
-    The result maps workspace names to (rate, burst) in millionths. Shares
-    are rounded down, so that their sum never exceeds the limit.
+    The result maps workspace names to (rate, burst) in millionths. With the
+    host's `address` the shares sum to the limit exactly, so that a burst of
+    one request is usable, and a host outside the list gets nothing. Without
+    it they are rounded down.
     """
-    count = len(fleet_addresses)
-    if not count:
+    addresses = sorted(fleet_addresses)
+    if address is None:
+        position = len(addresses)
+    elif address in addresses:
+        position = addresses.index(address)
+    else:
+        return {}
+    if not addresses:
         return {}
     return {
         workspace.name: (
-            round(workspace.rate * messages.MICRO) // count,
-            round(workspace.burst * messages.MICRO) // count,
+            _share(workspace.rate, len(addresses), position),
+            _share(workspace.burst, len(addresses), position),
         )
         for workspace in workspaces
     }
 
 
+def _share(limit, count, position):
+    share, rest = divmod(round(limit * messages.MICRO), count)
+    return share + 1 if position < rest else share
+
+
 def list_units(services):
     """Return all slot units of `services`."""
     return [
@@ -101,24 +126,17 @@
     return hashing.top(f'{workspace.name}\0{address}', owners)
 
 
-class _Growth:
-    """A larger share that applies at `at`."""
-
-    __slots__ = ('at', 'share')
-
-    def __init__(self, at, share):
-        self.at = at
-        self.share = share
-
-
 class _LentRate:
-    """A workspace's right at its lender; `lease` is None at home."""
+    """A workspace's right at its lender; `lease` is None at home.
 
-    __slots__ = ('bucket', 'growth', 'lease', 'moved_micro', 'share')
+    `wanted` is the configured share, `share` the part of it that applies.
+    """
+
+    __slots__ = ('bucket', 'lease', 'moved_micro', 'share', 'wanted')
 
     def __init__(self, now):
         self.share = NO_SHARE
-        self.growth = None
+        self.wanted = NO_SHARE
         self.lease = None
         self.bucket = rates.Bucket(now)
         self.moved_micro = 0
@@ -126,8 +144,7 @@
     @property
     def is_gone(self):
         """Whether nothing is left of the right, now or later."""
-        no_share = self.share == NO_SHARE and self.growth is None
-        return no_share and self.lease is None
+        return self.share == self.wanted == NO_SHARE and self.lease is None
 
     def lend(self, lease, now):
         """Move the right and its tokens to a lease."""
@@ -157,20 +174,19 @@
 
 
 class _LentUnit:
-    """A slot unit at its lender; `lease` is None at home."""
+    """A slot unit at its lender, like `_LentRate`."""
 
-    __slots__ = ('growth', 'lease', 'share')
+    __slots__ = ('lease', 'share', 'wanted')
 
     def __init__(self, _now):
         self.share = NO_SHARE
-        self.growth = None
+        self.wanted = NO_SHARE
         self.lease = None
 
     @property
     def is_gone(self):
         """Whether nothing is left of the right, now or later."""
-        no_share = self.share == NO_SHARE and self.growth is None
-        return no_share and self.lease is None
+        return self.share == self.wanted == NO_SHARE and self.lease is None
 
     def lend(self, lease, _now):
         """Move the unit to a lease."""
@@ -193,11 +209,13 @@
     """A lease as its lender knows it.
 
     `removed` maps each right that left the list, but that the borrower may
-    still use, to the version that left it out.
+    still use, to the version that left it out. `basis` is what `items` were
+    made from.
     """
 
     __slots__ = (
         'acknowledged',
+        'basis',
         'borrower',
         'incarnation',
         'items',
@@ -213,6 +231,7 @@
         self.lease_id = lease_id
         self.version = 1
         self.acknowledged = 0
+        self.basis = None
         self.items = {}
         self.removed = {}
         self.until = 0.0
@@ -230,11 +249,16 @@
 
     __slots__ = (
         '_address',
+        '_changes',
         '_ended',
+        '_fleet_version',
+        '_grow_from',
+        '_is_growing',
         '_last_lease_id',
         '_leases',
         '_quarantine_until',
         '_rights',
+        '_settled_at',
     )
 
     def __init__(self, address, now):
@@ -243,6 +267,14 @@
         # before it ended.
         self._quarantine_until = now + LENDER_HOLD_S
         self._rights = {}
+        # Number of changes of rights that can change the items of a lease;
+        # without one, a renewal does not look at every right.
+        self._changes = 0
+        self._fleet_version = None
+        # Time from which larger shares apply, and whether some wait for it.
+        self._grow_from = now + GROWTH_DELAY_S
+        self._is_growing = False
+        self._settled_at = now
         self._leases = {}
         # Leases of earlier incarnations of borrowers, until their end.
         self._ended = []
@@ -251,24 +283,49 @@
         seed = f'{address}\0{now!r}'.encode()
         self._last_lease_id = xxhash.xxh3_64_intdigest(seed) >> 1
 
-    def set_rights(self, shares, units, now, in_force_s=0.0):
+    def set_rights(
+        self, shares, units, now, in_force_s=0.0, fleet_version=None
+    ):
         """Set this host's shares of the rates and its slot units.
 
-        Smaller shares apply at once, larger ones `GROWTH_DELAY_S` after the
-        change was published. `in_force_s` is for how long at least the
-        change is known to have been published, for example because a peer
-        has had it for that time.
+        Smaller shares apply at once. Larger ones do if the published list
+        of addresses is the same as before: nothing moves from host to host
+        then. Under a new list they apply `GROWTH_DELAY_S` after it was
+        published. `fleet_version` names the list; it differs for each
+        change, also for one that restores an earlier list, and None stands
+        for a new one. `in_force_s` is for how long at least the list is
+        known to have been published, for example because a peer that now
+        has it in force has had it for that time.
         """
         self._settle(now)
-        wanted = dict(shares)
-        wanted.update(dict.fromkeys(sorted(units), UNIT_SHARE))
-        grow_at = max(
+        grow_from = max(
             now + GROWTH_DELAY_S - in_force_s, self._quarantine_until
         )
+        if fleet_version is not None and fleet_version == self._fleet_version:
+            grow_from = min(grow_from, self._grow_from)
+        self._fleet_version = fleet_version
+        self._grow_from = grow_from
+        wanted = dict(shares)
+        wanted.update(dict.fromkeys(sorted(units), UNIT_SHARE))
         for key in [*wanted, *(self._rights.keys() - wanted.keys())]:
-            self._set_right(key, wanted.get(key, NO_SHARE), grow_at, now)
+            self._set_right(key, wanted.get(key, NO_SHARE), now)
+        self._changes += 1
         self._settle(now)
 
+    def hold_back(self, now):
+        """Stop lending for `GROWTH_DELAY_S`, as a list may have been missed.
+
+        A list that was in force meanwhile may have moved the rights to other
+        hosts, even if they belong here again. Called after a pause, and for
+        a host that had no news for longer than `MISSED_CHANGE_S`.
+        """
+        for right in self._rights.values():
+            right.set_share(NO_SHARE, now)
+        self._fleet_version = None
+        self._grow_from = now + GROWTH_DELAY_S
+        self._is_growing = True
+        self._changes += 1
+
     def grant(self, request, owned_workspaces, owned_services, now):
         """Answer a borrower that owns the given workspaces and services."""
         self._settle(now)
@@ -276,7 +333,7 @@
         if lease is None:
             return NO_GRANT
         if request.known_lease == lease.lease_id:
-            self._acknowledge(lease, request.known_version, now)
+            self._acknowledge(lease, request, now)
         self._update_items(lease, owned_workspaces, owned_services, now)
         lease.until = now + LENDER_HOLD_S
         known = (request.known_lease, request.known_version)
@@ -302,6 +359,7 @@
         }
         for key in lease.holds():
             self._rights[key].come_home(now, tokens.get(key, 0))
+        self._changes += 1
         self._drop_gone()
 
     def dump(self, now):
@@ -334,7 +392,7 @@
             'burst_micro': burst_micro,
             'tokens_micro': right.bucket.level_micro,
             'lent_to': right.lease and right.lease.borrower,
-            'growing': right.growth is not None,
+            'growing': right.share != right.wanted,
         }
 
     def _dump_lease(self, lease, now):
@@ -349,38 +407,40 @@
             'held_s': lease.until - now,
         }
 
-    def _set_right(self, key, share, grow_at, now):
+    def _set_right(self, key, wanted, now):
         right = self._rights.get(key)
         if right is None:
             kind = _LentRate if isinstance(key, str) else _LentUnit
             right = self._rights[key] = kind(now)
-        smaller = tuple(map(min, right.share, share))
+        right.wanted = wanted
+        smaller = tuple(map(min, right.share, wanted))
         if smaller != right.share:
             right.set_share(smaller, now)
-        if share == smaller:
-            right.growth = None
-        elif right.growth is None or any(
-            new > old
-            for new, old in zip(share, right.growth.share, strict=True)
-        ):
-            right.growth = _Growth(grow_at, share)
-        else:
-            # No more than what was to come: the time since then counts.
-            right.growth.share = share
-            right.growth.at = min(right.growth.at, grow_at)
-            right.growth.at = min(right.growth.at, grow_at)
+        if wanted != smaller:
+            self._is_growing = True
 
     def _settle(self, now):
+        changes = self._changes
         for lease in [*self._leases.values(), *self._ended]:
             if lease.until <= now:
                 self._forget_lease(lease)
                 for key in lease.holds():
                     self._rights[key].come_home(lease.until, 0)
+                self._changes += 1
+        if now - self._settled_at > MISSED_CHANGE_S:
+            self.hold_back(now)
+        self._settled_at = max(self._settled_at, now)
+        if self._is_growing and self._grow_from <= now:
+            self._grow(now)
+        if self._changes != changes:
+            self._drop_gone()
+
+    def _grow(self, now):
         for right in self._rights.values():
-            if right.growth is not None and right.growth.at <= now:
-                right.set_share(right.growth.share, right.growth.at)
-                right.growth = None
-        self._drop_gone()
+            if right.share != right.wanted:
+                right.set_share(right.wanted, now)
+        self._is_growing = False
+        self._changes += 1
 
     def _drop_gone(self):
         gone = [key for key, right in self._rights.items() if right.is_gone]
@@ -423,8 +483,13 @@
         else:
             self._ended.remove(lease)
 
-    def _acknowledge(self, lease, version, now):
-        lease.acknowledged = max(lease.acknowledged, version)
+    def _acknowledge(self, lease, request, now):
+        # A right that is still to be freed was taken away by a version that
+        # no earlier request knew, so the returned tokens are not old ones.
+        tokens = {
+            item.workspace: item.tokens_micro for item in request.returned
+        }
+        lease.acknowledged = max(lease.acknowledged, request.known_version)
         stopped = [
             key
             for key, removed_in in lease.removed.items()
@@ -432,9 +497,16 @@
         ]
         for key in stopped:
             del lease.removed[key]
-            self._rights[key].come_home(now, 0)
+            self._rights[key].come_home(now, tokens.get(key, 0))
+        if stopped:
+            self._changes += 1
+            self._drop_gone()
 
     def _update_items(self, lease, owned_workspaces, owned_services, now):
+        basis = (self._changes, owned_workspaces, owned_services)
+        if basis == lease.basis:
+            return
+        lease.basis = basis
         items = {}
         for key, right in self._rights.items():
             if right.share == NO_SHARE:
@@ -470,6 +542,8 @@
         'is_active',
         'items',
         'lease_id',
+        'returned',
+        'returned_at',
         'until',
         'version',
     )
@@ -479,6 +553,9 @@
         self.lease_id = lease_id
         self.version = 0
         self.items = {}
+        # Tokens of the rights that the present version took away.
+        self.returned = ()
+        self.returned_at = 0.0
         self.until = float('-inf')
         self.is_active = False
 
@@ -488,6 +565,7 @@
 
     __slots__ = (
         '_address',
+        '_check_at',
         '_holdings',
         '_incarnation',
         '_is_stopped',
@@ -499,6 +577,8 @@
         self._address = address
         self._incarnation = incarnation
         self._holdings = {}
+        # No lease ends before this time; renewals only postpone ends.
+        self._check_at = float('inf')
         self._pools = {}
         # Sets of usable units by service, with the end of their validity.
         self._units = {}
@@ -514,31 +594,39 @@
             self._incarnation,
             holding.lease_id,
             holding.version,
+            holding.returned,
         )
 
     def accept(self, lender, lender_incarnation, sent_at, grant, now):
         """Take over a grant; the request for it left at `sent_at`.
 
-        Outdated and repeated grants change nothing.
+        Outdated and repeated grants change nothing. Return whether the
+        lender waits for the acknowledgement of rights taken away; the next
+        request is better sent at once then.
         """
         until = sent_at + grant.duration_s
         if self._is_stopped or not grant.lease_id or until <= now:
-            return
+            return False
         self._drop_ended(now)
         holding = self._find_holding(lender, lender_incarnation, grant, now)
         if holding is None or grant.version < holding.version:
-            return
+            return False
         if grant.version > holding.version and grant.items is None:
-            return
+            return False
         holding.until = max(holding.until, until)
+        if sent_at > holding.returned_at:
+            holding.returned = ()
+        is_reduced = False
         if grant.version > holding.version:
-            self._replace_items(lender, holding, grant, now)
+            is_reduced = self._replace_items(lender, holding, grant, now)
         elif not holding.is_active:
             # The lender kept the lease while our side had ended it; the
             # tokens were dropped at that end.
             for item in holding.items.values():
                 self._add_item(lender, holding, item, 0, now)
         holding.is_active = True
+        self._check_at = min(self._check_at, holding.until)
+        return is_reduced
 
     def take_token(self, workspace, now):
         """Take one token of a workspace's rate."""
@@ -648,13 +736,27 @@
         ]
 
     def _drop_ended(self, now):
-        for holding in self._holdings.values():
-            if holding.is_active and holding.until <= now:
+        if now < self._check_at:
+            return
+        forgotten = []
+        for lender, holding in self._holdings.items():
+            if holding.until <= now:
                 holding.is_active = False
+            if holding.until <= now - LEASE_MEMORY_S:
+                forgotten.append(lender)
+        for lender in forgotten:
+            del self._holdings[lender]
         for pool in self._pools.values():
             if pool.has_ended(now):
                 pool.settle(now)
         self._drop_empty_pools()
+        self._check_at = min(
+            (
+                holding.until + (0 if holding.is_active else LEASE_MEMORY_S)
+                for holding in self._holdings.values()
+            ),
+            default=float('inf'),
+        )
 
     def _drop_empty_pools(self):
         empty = [
@@ -688,9 +790,9 @@
             else item: item
             for item in grant.items
         }
-        for key in holding.items.keys() - items.keys():
-            if key in self._pools:
-                self._pools[key].remove_share(lender, now)
+        dropped = holding.items.keys() - items.keys()
+        holding.returned = self._remove_shares(lender, holding, dropped, now)
+        holding.returned_at = now
         for key, item in items.items():
             tokens_micro = 0
             if isinstance(key, str) and key not in holding.items:
@@ -700,6 +802,17 @@
         holding.version = grant.version
         self._units.clear()
         self._drop_empty_pools()
+        return bool(dropped)
+
+    def _remove_shares(self, lender, holding, keys, now):
+        return tuple(
+            dataclasses.replace(
+                holding.items[key],
+                tokens_micro=self._pools[key].remove_share(lender, now),
+            )
+            for key in keys
+            if key in self._pools
+        )
 
     def _add_item(self, lender, holding, item, tokens_micro, now):
         if not isinstance(item, messages.RateItem):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -30,6 +30,11 @@
         self.check(messages.LeaseGrant(3, 4, 3.0, ()))
         self.check(messages.LeaseGrant(3, 4, 3.0, None))
 
+    def test_a_borrow_request(self):
+        request = messages.BorrowRequest('127.0.0.1', 7, 3, 4, (RATE,))
+        packed = reparse(wire.pack_borrow(request))
+        self.assertEqual(wire.unpack_borrow(packed, '127.0.0.1', 7), request)
+
     def test_a_return(self):
         returned = messages.RightsReturn('127.0.0.1', 7, 3, (RATE,))
         packed = reparse(wire.pack_return(returned))
