--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,8 @@
 """Tests of the stand-ins that drive processes and load."""
 
-import tomllib
+import asyncio
 import sys
+import tomllib
 import unittest
 
 import httpx
--- /dev/null
+++ b/tests/test_proofs.py
@@ -0,0 +1,120 @@
+"""Tests that the page of proofs is complete and names tests that exist."""
+
+import pathlib
+import re
+import unittest
+
+DOCS = pathlib.Path(__file__).parents[1] / 'docs'
+PROOFS = (DOCS / 'proofs.md').read_text()
+DESIGN = (DOCS / 'design.md').read_text()
+
+VERDICTS = ('proved', 'partly', 'not proved', 'measured')
+# Index of the cell, from the first one on.
+STATEMENT = 1
+TESTS = 3
+VERDICT = 6
+TEST_ID = re.compile(r'`(tests\.[\w.]+)`')
+
+
+def list_rows(text):
+    """Return the cells of each row with an id such as I1."""
+    found = re.findall(r'^\| ([IFM]\d+ \|.*) \|$', text, re.MULTILINE)
+    return [[cell.strip() for cell in row.split(' | ')] for row in found]
+
+
+def find_section(number):
+    """Return the text of a section of the design page."""
+    _, _, rest = DESIGN.partition(f'\n### {number} ')
+    return rest.partition('\n### ')[0].partition('\n')[2]
+
+
+def join_lines(text):
+    """Return a text without line ends and repeated spaces."""
+    return ' '.join(text.split())
+
+
+def list_invariants():
+    """Return (id, statement) of each invariant."""
+    return re.findall(
+        r'^\| (I\d+) \| (.*?) \|', find_section('1.1'), re.MULTILINE
+    )
+
+
+def list_measures():
+    """Return the measures, which are one sentence with semicolons."""
+    sentence = join_lines(find_section('1.2')).partition('. ')[0]
+    _, _, listed = sentence.partition(': ')
+    return [part.removeprefix('and ') for part in listed.split('; ')]
+
+
+def list_failures():
+    """Return the listed failures and the parts of the text below them."""
+    listed, _, rest = find_section('1.4').partition('\n\nAny of these')
+    items = re.split(r'^- ', listed, flags=re.MULTILINE)[1:]
+    found = [join_lines(item).removesuffix('.') for item in items]
+    together, _, added = join_lines(rest).partition('. In addition, ')
+    found.append('Any of these ' + together)
+    workspace, _, domains = added.removesuffix('.').partition(', and ')
+    return [*found, workspace, domains]
+
+
+class ProofsTest(unittest.TestCase):
+    """Guards against claims without a test."""
+
+    def setUp(self):
+        super().setUp()
+        self.rows = list_rows(PROOFS)
+
+    def check_statements(self, letter, expected):
+        stated = {
+            row[STATEMENT] for row in self.rows if row[0].startswith(letter)
+        }
+        self.assertEqual(stated, set(expected))
+
+    def test_every_named_test_exists(self):
+        """Guards against tests that were renamed or removed."""
+        names = sorted(set(TEST_ID.findall(PROOFS)))
+        self.assertTrue(names)
+        loader = unittest.TestLoader()
+        for name in names:
+            suite = loader.loadTestsFromName(name)
+            self.assertGreater(suite.countTestCases(), 0, name)
+        self.assertEqual(loader.errors, [])
+
+    def test_every_row_has_a_verdict(self):
+        """Guards against rows that say nothing on the result."""
+        for row in self.rows:
+            self.assertEqual(len(row), VERDICT + 1, row)
+            self.assertTrue(all(row), row)
+            word, _, reason = row[VERDICT].partition(':')
+            self.assertIn(word, VERDICTS, row)
+            self.assertTrue(reason.strip(), row)
+
+    def test_every_proof_names_a_test(self):
+        """Guards against a verdict without a run behind it."""
+        for row in self.rows:
+            if not row[VERDICT].startswith('not proved'):
+                self.assertTrue(TEST_ID.findall(row[TESTS]), row)
+
+    def test_ids_are_unique(self):
+        """Guards against two rows for one subject."""
+        ids = [row[0] for row in self.rows]
+        self.assertEqual(len(ids), len(set(ids)))
+
+    def test_every_invariant_has_a_row(self):
+        expected = dict(list_invariants())
+        self.assertEqual(len(expected), 11)
+        found = {
+            row[0]: row[STATEMENT]
+            for row in self.rows
+            if row[0].startswith('I')
+        }
+        self.assertEqual(found, expected)
+
+    def test_every_failure_has_a_row(self):
+        self.assertEqual(len(list_failures()), 11)
+        self.check_statements('F', list_failures())
+
+    def test_every_measure_has_a_row(self):
+        self.assertEqual(len(list_measures()), 4)
+        self.check_statements('M', list_measures())
