Report every conflict of ticket numbers and name the events of targets

Cause of the first: when a ticket replaced the last object of another one with its number, the other's digest was forgotten before they were compared. Before: no conflict in one of two orders; after: reported in both (test_loser_of_all_its_objects_is_reported_in_any_order).

The metric of target events carried the class name instead of the event, the time in the queue was never recorded, and a metric and a reason code existed that nothing used; they are gone.

--- a/lavenderstile/configuration.py
+++ b/lavenderstile/configuration.py
@@ -221,6 +221,11 @@
     def _merge(self, ticket, changes):
         changed = []
         ignored = []
+        # Recorded first, or a ticket that replaces the last object of
+        # another one with its number would not find the other's digest.
+        digests = self._digests.setdefault(ticket.number, set())
+        is_new = ticket.digest not in digests
+        digests.add(ticket.digest)
         for item, model in ticket.objects.items():
             kind, name = item
             old = self._versions[kind].get(name)
@@ -230,7 +235,7 @@
             changed.append(item)
             changes[item] = model
             self._set_version(item, old, ticket)
-        conflicts = self._record_digest(ticket)
+        conflicts = self._report_conflict(ticket, is_new)
         return ApplyResult(tuple(changed), conflicts, tuple(ignored))
 
     @staticmethod
@@ -260,14 +265,12 @@
         if not self._is_in_force(number):
             self._digests.pop(number, None)
 
-    def _record_digest(self, ticket):
-        digests = self._digests.setdefault(ticket.number, set())
-        known = ticket.digest in digests
-        digests.add(ticket.digest)
+    def _report_conflict(self, ticket, is_new):
+        digests = self._digests[ticket.number]
         if not self._is_in_force(ticket.number):
             del self._digests[ticket.number]
             return ()
-        if known or len(digests) < 2:
+        if not is_new or len(digests) < 2:
             return ()
         return (Conflict(ticket.number, tuple(sorted(digests))),)
 
--- a/lavenderstile/dispatch.py
+++ b/lavenderstile/dispatch.py
@@ -185,6 +185,9 @@
             started = self._host.clock.now()
             grant = await self._slots.acquire(admit)
             granted_at = self._host.clock.now()
+            self._host.metrics.queue_seconds.add(
+                {'service': grant.unit.service}, granted_at - started
+            )
             attempts.note(
                 f'slot {grant.unit.index} of {grant.unit.target} granted '
                 f'after {(granted_at - started) * 1000:.1f} ms'
--- a/lavenderstile/metrics.py
+++ b/lavenderstile/metrics.py
@@ -11,7 +11,7 @@
         self._registry = aioprometheus.Registry()
         self.requests = self._counter(
             'lavenderstile_requests_total',
-            'Requests by service and outcome (answered or reason code).',
+            'Requests by route and outcome (answered or reason code).',
         )
         self.attempts = self._counter(
             'lavenderstile_attempts_total',
@@ -19,7 +19,7 @@
         )
         self.tickets = self._counter(
             'lavenderstile_tickets_total',
-            'Tickets by result (applied, ignored, refused, conflict).',
+            'Tickets by result (applied, ignored, refused, conflict, failed).',
         )
         self.exchanges = self._counter(
             'lavenderstile_exchanges_total',
@@ -42,10 +42,6 @@
             'lavenderstile_target_events_total',
             'State changes of targets by service and event.',
         )
-        self.added_seconds = self._summary(
-            'lavenderstile_added_seconds',
-            'Seconds from arrival to the send, without queueing.',
-        )
         self.queue_seconds = self._summary(
             'lavenderstile_queue_seconds',
             'Seconds spent waiting for a slot, by service.',
--- a/lavenderstile/service_owner.py
+++ b/lavenderstile/service_owner.py
@@ -179,8 +179,12 @@
                 self._answer(service, decision.outcome, reply, now)
 
     def _report(self, service, event):
-        name = type(event).__name__
+        name = event.kind.value
         self._metrics.target_events.inc({'service': service, 'event': name})
         eliot.log_message(
-            'target_event', service=service, event=name, detail=str(event)
+            'target_event',
+            service=service,
+            target=event.target,
+            event=name,
+            reason=event.reason,
         )
--- a/lavenderstile/verdicts.py
+++ b/lavenderstile/verdicts.py
@@ -39,7 +39,6 @@
     IDEMPOTENCY_KEY_REUSED = 'idempotency_key_reused'
     ALREADY_CLAIMED = 'already_claimed'
     CLAIMS_UNREACHABLE = 'claims_unreachable'
-    STOPPING = 'stopping'
     ALONE = 'alone'
 
 
@@ -68,7 +67,6 @@
     Reason.IDEMPOTENCY_KEY_REUSED: 422,
     Reason.ALREADY_CLAIMED: 409,
     Reason.CLAIMS_UNREACHABLE: 503,
-    Reason.STOPPING: 503,
     Reason.ALONE: 503,
 }
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -206,14 +206,12 @@
             self.assertEqual(state.conflicts, (conflict,))
         self.assertIn('number 5', str(conflict))
 
-    def test_loser_of_all_its_objects_is_reported_too(self):
-        one, two = sorted(
-            (domain_ticket(5, 'a'), domain_ticket(5, 'a', note='x')),
-            key=lambda item: item.digest,
-        )
-        state = apply_all(two)
-        self.assertEqual(len(state.apply(one).conflicts), 1)
-        self.assertEqual(len(state.conflicts), 1)
+    def test_loser_of_all_its_objects_is_reported_in_any_order(self):
+        pair = (domain_ticket(5, 'a'), domain_ticket(5, 'a', note='x'))
+        for one, two in (pair, reversed(pair)):
+            state = apply_all(one)
+            self.assertEqual(len(state.apply(two).conflicts), 1)
+            self.assertEqual(len(state.conflicts), 1)
 
     def test_conflict_ends_when_both_tickets_are_superseded(self):
         state = apply_all(self.low, self.high)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -95,7 +95,7 @@
         for each in settings:
             seeds = each['peers']['seeds']
             self.assertEqual(len(seeds), 3)
-            self.assertNotIn(each['listen']['peers'], seeds)
+            self.assertNotIn(each['listen']['peer'], seeds)
 
     async def test_a_crashed_target_can_be_started_again(self):
         async with fleet.run_fleet(hosts=1, targets=1) as running:
