--- a/lavenderstile/readiness.py
+++ b/lavenderstile/readiness.py
@@ -1,12 +1,14 @@
 """Whether a host may get requests, and why not."""
 
 from . import membership as membership_module
+from . import rights
 
 # A host without any contact cannot learn of withdrawn keys; it leaves the
 # balancer after this time.
 ALONE_LIMIT_S = 10.0
-# Within this time an exchange with each reachable peer has succeeded.
-START_WAIT_S = membership_module.ALIVE_WITHIN_S
+# A new fleet cannot know whether another list of addresses was in force just
+# before; it may not use its rights earlier and would refuse all requests.
+START_WAIT_S = rights.GROWTH_DELAY_S
 
 
 class Readiness:
@@ -73,9 +75,9 @@
         """Return whether the state in force is known to be current.
 
         Only a ready peer proves it: the service may be stale, and so may
-        peers that have just started. Without any ready peer for the time
-        that an exchange with one would take, this host is among the first
-        of its fleet and begins with what it has.
+        peers that have just started. Without any ready peer until its own
+        rights may be used, this host is among the first of its fleet and
+        begins with what it has.
         """
         if not self._configuration.newest:
             return False
--- a/tests/standins/demo.py
+++ b/tests/standins/demo.py
@@ -123,7 +123,10 @@
             raise SystemExit('the graceful shutdown failed')
         show('SIGKILL of the second host; the third one still answers')
         await self._fleet.hosts[1].process.kill()
-        print(describe(await self.call(2, 'GET', '/heats/1')))
+        answer = await self.call(2, 'GET', '/heats/1')
+        print(describe(answer))
+        if answer.status_code != 200:
+            raise SystemExit('the last host does not answer')
 
 
 async def main():
