Do not charge retries after refused connections to the retry budget

Cause: when a failure domain is lost at once, every request for one of its targets meets a refused connection. 238 such retries used up the budget of 10% within 2 s, and requests that had provably not run were refused. Ruled out: capacity (the other domains had free slots) and detection.

--- a/lavenderstile/admission.py
+++ b/lavenderstile/admission.py
@@ -243,7 +243,7 @@
             return self._refuse_crashing(request, now)
         if request.attempt <= 1:
             self._retries.record_request()
-        elif not self._retries.take():
+        elif request.charged and not self._retries.take():
             return refusals.refuse_retry(self._name)
         if not any(state.open for state in self._states.values()):
             return refusals.refuse_closed(self._name)
--- a/lavenderstile/dispatch.py
+++ b/lavenderstile/dispatch.py
@@ -64,6 +64,7 @@
         '_held',
         '_may_have_run',
         'admission',
+        'charged',
         'digest',
         'needs_token',
         'number',
@@ -76,6 +77,7 @@
         self.admission = admission
         self.digest = digest
         self.number = 1
+        self.charged = True
         self.needs_token = bool(admission.workspace)
         self.report = None
         self._held = held
@@ -96,6 +98,7 @@
             attempt=self.number,
             excluded_targets=tuple(self._excluded_targets),
             excluded_domains=tuple(self._excluded_domains),
+            charged=self.charged,
         )
 
     @property
@@ -275,7 +278,8 @@
             remaining_s=request.remaining_s(self._host.clock.now()),
         )
         match decision:
-            case retries.Retry() if request.body.replayable:
+            case retries.Retry(charged=charged) if request.body.replayable:
+                attempts.charged = charged
                 attempts.note('sending the request to another target')
             case _:
                 raise errors.RefusedError(make_refusal(error)) from error
--- a/lavenderstile/messages.py
+++ b/lavenderstile/messages.py
@@ -104,6 +104,8 @@
     attempt: int = 1
     excluded_targets: tuple[str, ...] = ()
     excluded_domains: tuple[str, ...] = ()
+    # Whether a retry counts against the service's retry budget.
+    charged: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lavenderstile/retries.py
+++ b/lavenderstile/retries.py
@@ -50,11 +50,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Retry:
-    """The request is admitted again, apart from the failed targets."""
+    """The request is admitted again, apart from the failed targets.
+
+    A retry after a refused connection is not charged to the budget: it adds
+    no load, as no target has done any work for the request yet.
+    """
 
     attempt: int
     excluded_targets: tuple[str, ...]
     excluded_domains: tuple[str, ...]
+    charged: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +104,7 @@
         attempt + 1,
         _add(excluded_targets, target),
         _add(excluded_domains, domain),
+        outcome is not messages.Outcome.CONNECT_FAILED,
     )
 
 
--- a/lavenderstile/wire.py
+++ b/lavenderstile/wire.py
@@ -224,6 +224,7 @@
         excluded_targets=request.excluded_targets,
         excluded_domains=request.excluded_domains,
         relayed=relayed,
+        uncharged=not request.charged,
     )
 
 
@@ -240,6 +241,7 @@
         attempt=data.attempt,
         excluded_targets=tuple(data.excluded_targets),
         excluded_domains=tuple(data.excluded_domains),
+        charged=not data.uncharged,
     )
 
 
--- a/tests/measure/service_run.py
+++ b/tests/measure/service_run.py
@@ -138,6 +138,7 @@
             attempt=decision.attempt,
             excluded_targets=decision.excluded_targets,
             excluded_domains=decision.excluded_domains,
+            charged=decision.charged,
         )
         self._ask(again, started)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -163,6 +163,14 @@
         self.assertEqual(second.excluded_domains, ('d-t1',))
         self.assertEqual(second.attempt, 2)
 
+    async def test_a_refused_connection_is_not_charged_to_the_budget(self):
+        """When a domain is lost, the budget would refuse what can be run."""
+        for failure, charged in ((REFUSED, False), (CRASHED, True)):
+            self.caller = fakes.Caller(*fakes.make_body())
+            forwarder = fakes.FakeForwarder(failure, fakes.FakeResponse())
+            await self.run_request(['t1', 't2'], forwarder)
+            self.assertIs(self.slots.requests[1].charged, charged)
+
     async def test_each_attempt_has_its_own_id(self):
         forwarder = fakes.FakeForwarder(CRASHED, fakes.FakeResponse())
         await self.run_request(['t1', 't2'], forwarder)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -56,6 +56,7 @@
             2,
             ('127.0.0.9:80',),
             ('north',),
+            False,
         )
 
     def test_the_remaining_time_is_sent(self):
