Move the emulator and the measuring programs beside the tests

The stand-ins for platform, targets and callers are used by the demonstration, the load runs and operators' trials as well as by tests; they are the package emulator now, and the measuring programs are in benchmarks. Fakes that only tests use stay in tests/standins. No code changes but names and imports.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring programs."""
--- a/tests/measure_configuration.py
+++ b/benchmarks/configuration.py
@@ -2,7 +2,7 @@
 
 Not a test. Run from the root of the repository:
 
-    python -m tests.measure_configuration
+    python -m benchmarks.configuration
 """
 
 import gc
--- a/tools/measure_forwarding.py
+++ b/benchmarks/forwarding.py
@@ -1,6 +1,6 @@
 """Measures the cost of a call to a target over variants of httpx.
 
-    python -m tools.measure_forwarding --calls 4000 --rounds 3
+    python -m benchmarks.forwarding --calls 4000 --rounds 3
 
 The targets are stand-ins in processes of their own, so the processor time
 is that of the calling side alone. A direct call writes a prepared request
@@ -18,9 +18,9 @@
 from hdrh import histogram
 import httpx
 
+from emulator import fleet
 from lavenderstile import clocks
 from lavenderstile import forwarding
-from tests.standins import fleet
 
 # Connections per target in every variant.
 CONNECTIONS = 8
--- a/tests/load/__main__.py
+++ b/benchmarks/load/__main__.py
@@ -1,8 +1,8 @@
 """Runs one of the load runs, prints a table and writes JSON.
 
-python -m tests.load rest --sizes 3 6 12
-python -m tests.load requests --hosts 6 --rates 25 50
-python -m tests.load state --steps workspaces=2000 routes=4000
+python -m benchmarks.load rest --sizes 3 6 12
+python -m benchmarks.load requests --hosts 6 --rates 25 50
+python -m benchmarks.load state --steps workspaces=2000 routes=4000
 """
 
 import argparse
--- a/tests/load/fleets.py
+++ b/benchmarks/load/fleets.py
@@ -5,8 +5,8 @@
 
 import httpx
 
-from ..standins import fleet as fleet_module
-from ..standins import tickets
+from emulator import fleet as fleet_module
+from emulator import tickets
 
 KEY = 'key-of-the-load-run'
 PATH = '/load'
--- a/tests/load/request_run.py
+++ b/benchmarks/load/request_run.py
@@ -5,7 +5,7 @@
 from . import fleets
 from . import rest_run
 from . import samples
-from ..standins import callers
+from emulator import callers
 
 PERCENTILES = (50, 99, 99.9)
 
--- a/tests/load/state_run.py
+++ b/benchmarks/load/state_run.py
@@ -8,7 +8,7 @@
 from . import fleets
 from . import rest_run
 from . import samples
-from ..standins import tickets
+from emulator import tickets
 
 HOSTS = 3
 SERVICE_TARGETS = 18
--- a/tests/measure/__main__.py
+++ b/benchmarks/measure/__main__.py
@@ -140,7 +140,9 @@
 
 def main():
     """Run the program."""
-    parser = argparse.ArgumentParser(prog='tests.measure', description=__doc__)
+    parser = argparse.ArgumentParser(
+        prog='benchmarks.measure', description=__doc__
+    )
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument(
         '--scenario',
--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the targets and the callers."""
--- a/tests/standins/callers.py
+++ b/emulator/callers.py
@@ -1,6 +1,6 @@
 """Load tool: asynchronous callers with a fixed rate and seed.
 
-    python -m tests.standins.callers --url http://127.0.0.2:7000 \
+    python -m emulator.callers --url http://127.0.0.2:7000 \
         --path /heats/ --key KEY --rate 50 --count 500
 
 Arrivals are planned ahead with exponential gaps; latency counts from the
--- a/tests/standins/demo.py
+++ b/emulator/demo.py
@@ -1,6 +1,6 @@
 """Runs a fleet from end to end and shows what came back.
 
-python -m tests.standins.demo
+python -m emulator.demo
 """
 
 import asyncio
--- a/tests/standins/fleet.py
+++ b/emulator/fleet.py
@@ -1,6 +1,6 @@
 """Starts stand-ins and daemons on loopback addresses.
 
-    python -m tests.standins.fleet --hosts 3 --targets 3
+    python -m emulator.fleet --hosts 3 --targets 3
 
 runs a fleet until SIGINT or SIGTERM and prints the addresses. Without
 `--ticket` it publishes the demonstration's ticket. Tests use `run_fleet`.
@@ -127,7 +127,7 @@
         self.platform_address = f'127.{net}.3.1:{PLATFORM_PORT}'
         self.platform = self._make_process(
             'platform',
-            ['tests.standins.platform', '--listen', self.platform_address],
+            ['emulator.platform', '--listen', self.platform_address],
         )
         self.targets = [
             self._make_target(net, number) for number in range(target_count)
@@ -163,7 +163,7 @@
         address = f'127.{net}.2.{number + 1}:{TARGET_PORT}'
         domain = DOMAINS[number % len(DOMAINS)]
         name = f'target-{number + 1}'
-        arguments = ['tests.standins.target', '--listen', address]
+        arguments = ['emulator.target', '--listen', address]
         arguments += ['--name', name, '--seed', str(number + 1)]
         process = self._make_process(name, arguments)
         return TargetServer(address, domain, process)
--- a/tests/standins/platform.py
+++ b/emulator/platform.py
@@ -1,6 +1,6 @@
 """Stand-in for the configuration service and the host list.
 
-Run it with `python -m tests.standins.platform --listen 127.0.0.1:7900`.
+Run it with `python -m emulator.platform --listen 127.0.0.1:7900`.
 Readers use `/v1/...`; everything under `/control/` belongs to the test.
 """
 
--- a/tests/standins/processes.py
+++ b/emulator/processes.py
@@ -8,7 +8,7 @@
 # Time that a process gets to end after SIGTERM.
 STOP_LIMIT_S = 20.0
 
-ROOT = pathlib.Path(__file__).parents[2]
+ROOT = pathlib.Path(__file__).parents[1]
 
 
 class Process:
--- a/tests/standins/target.py
+++ b/emulator/target.py
@@ -1,6 +1,6 @@
 """Stand-in for a target.
 
-Run it with `python -m tests.standins.target --listen 127.0.0.1:7800`. Any
+Run it with `python -m emulator.target --listen 127.0.0.1:7800`. Any
 path runs a request; `/health` and `/load` are hints; `/control/...` belongs
 to the test, whose connections count towards the limit but are neither
 silenced nor reset. Query parameters of a request: `work_ms` is the time it
--- a/tests/cases.py
+++ b/tests/cases.py
@@ -4,11 +4,11 @@
 
 import httpx
 
+from emulator import target
+from emulator import target_state
 from lavenderstile import clocks
 from lavenderstile import errors
 from lavenderstile import forwarding
-from tests.standins import target
-from tests.standins import target_state
 
 # Overall limit of a request; not a bound on what a test measures.
 LIMIT_S = 30.0
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -6,8 +6,8 @@
 
 import httpx
 
-from tests.standins import fleet as fleet_module
-from tests.standins import tickets
+from emulator import fleet as fleet_module
+from emulator import tickets
 
 # Overall limit of a wait; what has to happen takes seconds.
 WAIT_LIMIT_S = 60.0
--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform, the targets and the callers."""
+"""Fakes that drive decision objects of several hosts, and broken peers."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 
+from emulator import serving
 from lavenderstile import bodies
 from lavenderstile import errors
 from lavenderstile import messages
 from lavenderstile import verdicts
 from tests import cases
-from tests.standins import serving
 
 PIECE = bytes(64 * 1024)
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -6,10 +6,10 @@
 
 import httpx
 
-from .standins import caller_connections
-from .standins import callers
-from .standins import target as target_module
-from .standins import target_state
+from emulator import caller_connections
+from emulator import callers
+from emulator import target as target_module
+from emulator import target_state
 
 
 class CallerConnectionsTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_configuration_task.py
+++ b/tests/test_configuration_task.py
@@ -3,10 +3,10 @@
 import asyncio
 import unittest
 
+from emulator import tickets
 from lavenderstile import configuration
 from lavenderstile import configuration_task
 from lavenderstile import metrics
-from tests.standins import tickets
 
 KEY = 'key-of-club'
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,12 +5,12 @@
 import random
 import socket
 
+from emulator import serving
 from lavenderstile import errors
 from lavenderstile import messages
 from lavenderstile import verdicts
 from tests import cases
 from tests.standins import scripted
-from tests.standins import serving
 
 
 class AnswerTest(cases.ForwardingCase):
--- a/tests/test_failures_fleet.py
+++ b/tests/test_failures_fleet.py
@@ -4,8 +4,8 @@
 
 import uuid6
 
+from emulator import tickets
 from tests import fleet_case
-from tests.standins import tickets
 
 
 class KillTest(fleet_case.FleetTestCase):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,10 +7,10 @@
 
 import httpx
 
+from emulator import callers
+from emulator import fleet
+from emulator import target
 from tests import cases
-from tests.standins import callers
-from tests.standins import fleet
-from tests.standins import target
 
 
 class CallersTest(cases.StandinCase):
@@ -114,7 +114,7 @@
     async def test_the_program_serves_the_demonstration(self):
         """Guards against hosts without a ticket, which are never ready."""
         program = await asyncio.create_subprocess_exec(
-            *(sys.executable, '-m', 'tests.standins.fleet'),
+            *(sys.executable, '-m', 'emulator.fleet'),
             *('--hosts', '1', '--targets', '1'),
             stdout=asyncio.subprocess.PIPE,
         )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,8 +1,8 @@
 """Tests of the forwarder's view of its targets."""
 
+from emulator import serving
 from lavenderstile import forwarding
 from tests import cases
-from tests.standins import serving
 
 
 class LimitsTest(cases.ForwardingCase):
--- a/tests/test_host_rights.py
+++ b/tests/test_host_rights.py
@@ -4,6 +4,7 @@
 import contextlib
 import unittest
 
+from emulator import tickets as ticket_texts
 from lavenderstile import clocks
 from lavenderstile import configuration
 from lavenderstile import configuration_ages
@@ -13,7 +14,6 @@
 from lavenderstile import owner_messages
 from lavenderstile import ownership
 from lavenderstile import tickets
-from tests.standins import tickets as ticket_texts
 
 OWN = '127.0.0.1'
 PEER = '127.0.0.2'
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -7,12 +7,12 @@
 import tempfile
 import unittest
 
-from .load import __main__ as program
-from .load import fleets
-from .load import request_run
-from .load import samples
-from .load import state_run
-from .standins import processes
+from benchmarks.load import __main__ as program
+from benchmarks.load import fleets
+from benchmarks.load import request_run
+from benchmarks.load import samples
+from benchmarks.load import state_run
+from emulator import processes
 from lavenderstile import metrics
 from lavenderstile import peers
 from lavenderstile.proto import peer_pb2
@@ -115,7 +115,7 @@
         with tempfile.TemporaryDirectory() as directory:
             run = processes.Process(
                 'load',
-                ['tests.load', 'rest', '--sizes', '3'],
+                ['benchmarks.load', 'rest', '--sizes', '3'],
                 pathlib.Path(directory) / 'load.log',
             )
             await run.start()
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,8 +6,8 @@
 import sys
 import unittest
 
-from .measure import __main__ as program
-from .measure import figures
+from benchmarks.measure import __main__ as program
+from benchmarks.measure import figures
 
 DEPLOYMENT = 'federacion'
 
@@ -41,7 +41,7 @@
         for scenario in scenarios:
             arguments += ['--scenario', scenario]
         output = subprocess.run(
-            [sys.executable, '-m', 'tests.measure', *arguments],
+            [sys.executable, '-m', 'benchmarks.measure', *arguments],
             check=True,
             capture_output=True,
             env={**os.environ, 'PYTHONHASHSEED': '7'},
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 
+from emulator import serving
 from lavenderstile import connections
 from lavenderstile import errors
 from lavenderstile import messages
 from lavenderstile import verdicts
 from tests import cases
-from tests.standins import serving
 
 
 class PoolTest(cases.ForwardingCase):
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -3,12 +3,12 @@
 import asyncio
 import unittest
 
+from emulator import serving
+from emulator import target
+from emulator import target_state
 from lavenderstile import messages
 from lavenderstile import probes
 from tests.standins import scripted
-from tests.standins import serving
-from tests.standins import target
-from tests.standins import target_state
 
 
 async def start_target(test, **behaviour):
--- a/tests/test_serving_fleet.py
+++ b/tests/test_serving_fleet.py
@@ -6,8 +6,8 @@
 import httpx
 import uuid6
 
+from emulator import tickets
 from tests import fleet_case
-from tests.standins import tickets
 
 
 class ServingTest(fleet_case.FleetTestCase):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,9 +5,9 @@
 
 import httpx
 
+from emulator import platform
+from emulator import serving
 from tests import cases
-from tests.standins import platform
-from tests.standins import serving
 
 
 class PlatformTest(cases.StandinCase):
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 . tools/setup.sh
-exec .venv/bin/python -m tests.standins.demo
+exec .venv/bin/python -m emulator.demo
