Keep a host off a target that fails for it and that no other host tries

Cause: ejection needs failures seen by two hosts, and path avoidance needed good answers of other hosts.

Change: without any request of other hosts, three failures in a row are enough to avoid the path. One or two requests of others still decide nothing.

--- a/lavenderstile/avoidance.py
+++ b/lavenderstile/avoidance.py
@@ -1,4 +1,4 @@
-"""Paths between a host and a target that only this host finds bad."""
+"""Paths between a host and a target that no other host finds bad."""
 
 import collections
 
@@ -9,8 +9,8 @@
 ROW_MEMORY_S = 120.0
 FIRST_AVOIDANCE_S = 5.0
 MAX_AVOIDANCE_S = 60.0
-# The other hosts must find the target good: so many requests of theirs,
-# and at most this share of them failed.
+# The other hosts, if any has tried the target, must find it good: so many
+# requests of theirs, and at most this share of them failed.
 OTHERS_SAMPLES = 3
 OTHERS_SHARE = 0.3
 # A host whose paths fail at this time has a bad link, and no bad path.
@@ -127,15 +127,21 @@
                 if path.avoidances or path.failures < FAILURES_IN_A_ROW:
                     continue
                 samples = window.samples(target, now)
-                if not _is_good_for_others(samples, host):
+                if not _is_path_fault(samples, host):
                     continue
                 self.avoid(host, (target,), now)
                 found.append((host, target))
         return found
 
 
-def _is_good_for_others(samples, host):
+def _is_path_fault(samples, host):
     others = [sample for sample in samples if sample.host != host]
+    if not others:
+        # Whether the path or the target is bad cannot be told then, and
+        # keeping the host off it is right in both cases. With few hosts
+        # and a steady order of requests, one host may get all of a
+        # target's requests for ever.
+        return True
     failed = sum(sample.failed for sample in others)
     return len(others) >= OTHERS_SAMPLES and failed < OTHERS_SHARE * len(
         others
