Find targets that hang before their requests time out

Ruled out: the detection of silence itself, and slow callers, which may not eject anybody.

Change: hosts report with their running grants for how long a wholly sent request has waited for its answer. Two requests of two hosts that wait longer than 2 s, and than 1.5 times the slowest answer of the last minutes, confirm the silence. Uploads in progress and answers that have begun report nothing.

--- a/benchmarks/measure/policies.py
+++ b/benchmarks/measure/policies.py
@@ -10,6 +10,7 @@
 
 TICK_S = 0.1
 EVALUATE_S = 0.2
+EXCHANGE_S = 1.0
 CONSECUTIVE_ERRORS = 5
 ROUND_ROBIN_EJECTION_S = 30.0
 ONE_LANE = 'all'
@@ -52,6 +53,10 @@
         self.set_units(units)
         engine.every(TICK_S, self._poll)
         engine.every(EVALUATE_S, self._evaluate)
+        # Grants in use: (host, unit, time of the grant) by id.
+        self._running = {}
+        self._hosts = set()
+        engine.every(EXCHANGE_S, self._exchange)
 
     def configure(self, domains_out):
         """Put failure domains in or out of service."""
@@ -77,8 +82,24 @@
         else:
             self._engine.after(self.delay_s, decide, result)
 
+    def start(self, host, grant):
+        """Note that a host sends a request with its grant."""
+        self._hosts.add(host)
+        self._running[grant.grant_id] = (host, grant.unit, self._engine.now)
+
+    def _exchange(self):
+        """Report the grants in use, with the time that they wait."""
+        now = self._engine.now
+        lists = {host: [] for host in self._hosts}
+        for grant_id, (host, unit, since) in self._running.items():
+            report = messages.RunningGrant(grant_id, host, unit, now - since)
+            lists[host].append(report)
+        for host, running in lists.items():
+            self._admission.adopt(host, running, now)
+
     def release(self, report):
         """Send the outcome of an attempt."""
+        self._running.pop(report.grant_id, None)
         self._engine.after(self.delay_s, self._release, report)
 
     def _release(self, report):
@@ -119,6 +140,9 @@
         """Put failure domains in or out of service."""
         self._domains_out = domains_out
 
+    def start(self, host, grant):
+        """Grants are not counted here."""
+
     def set_units(self, units):
         """Slot units do not exist here."""
 
--- a/benchmarks/measure/service_run.py
+++ b/benchmarks/measure/service_run.py
@@ -84,6 +84,7 @@
     def _start(self, request, started, grant):
         now = self.engine.now
         delay_s = self.deployment.delay_s
+        self.policy.start(request.host, grant)
 
         def done(outcome, cold):
             latency_s = self.engine.now - now
--- a/lavenderstile/dispatch.py
+++ b/lavenderstile/dispatch.py
@@ -235,8 +235,12 @@
         """Send the request once and pass the answer on."""
         outcome, measured = messages.Outcome.CANCELLED, {}
         attempts.start_send()
+        # While a caller still sends its body, the target owes no answer.
+        if attempts.request.body.complete:
+            self._slots.note_sent(grant)
         try:
             async with self._open(attempts, grant) as response:
+                self._slots.note_answer(grant)
                 measured = _measure(response)
                 attempts.note(
                     f'{grant.unit.target} answered {response.status}'
--- a/lavenderstile/messages.py
+++ b/lavenderstile/messages.py
@@ -170,11 +170,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunningGrant:
-    """A grant that a host still uses, as listed in its exchanges."""
+    """A grant that a host still uses, as listed in its exchanges.
+
+    `waiting_s` is the time since the whole request was sent, or None when
+    it is still being sent or its answer has begun.
+    """
 
     grant_id: str
     host: str
     unit: SlotUnit
+    waiting_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lavenderstile/reviews.py
+++ b/lavenderstile/reviews.py
@@ -123,7 +123,9 @@
             return
         latency_s = None if failed else report.latency_s
         self._window.record(state.address, report.host, failed, latency_s, now)
-        self._silence.record(state.address, report.host, failed, now)
+        self._silence.record(
+            state.address, report.host, failed, now, latency_s
+        )
 
     def hint(self, hint, now):
         """Take what a target's health and load endpoints say."""
--- a/lavenderstile/slot_client.py
+++ b/lavenderstile/slot_client.py
@@ -29,6 +29,7 @@
         self._owner = owner
         self._ownership = owners
         self._running = {}
+        self._sent_at = {}
 
     def own_running(self):
         """Return all grants in use, for this host's own admissions."""
@@ -36,16 +37,29 @@
 
     def running_reports(self):
         """Return (owner, report) of all grants in use."""
+        now = self._host.clock.now()
         return [
-            (
-                owner,
-                messages.RunningGrant(
-                    grant.grant_id, self._host.address, grant.unit
-                ),
-            )
+            (owner, self._make_report(grant, now))
             for owner, grant in self._running.values()
         ]
 
+    def _make_report(self, grant, now):
+        sent_at = self._sent_at.get(grant.grant_id)
+        return messages.RunningGrant(
+            grant.grant_id,
+            self._host.address,
+            grant.unit,
+            None if sent_at is None else now - sent_at,
+        )
+
+    def note_sent(self, grant):
+        """Record that the whole request is being sent at once."""
+        self._sent_at[grant.grant_id] = self._host.clock.now()
+
+    def note_answer(self, grant):
+        """Record that the answer has begun."""
+        self._sent_at.pop(grant.grant_id, None)
+
     async def acquire(self, request):
         """Return a grant, or raise the refusal."""
         give_up_at = self._host.clock.now() + OWNER_WAIT_S
@@ -115,6 +129,7 @@
         Return the task that tells a remote owner, or None for this host.
         """
         owner, _ = self._running.pop(grant.grant_id)
+        self._sent_at.pop(grant.grant_id, None)
         report = messages.ReleaseReport(
             grant.grant_id,
             self._host.address,
--- a/lavenderstile/slots.py
+++ b/lavenderstile/slots.py
@@ -30,6 +30,7 @@
         'step',
         'trial',
         'unit',
+        'waiting_since',
     )
 
     def __init__(self, grant_id, host, unit, now):
@@ -43,6 +44,8 @@
         self.isolated = False
         self.step = None
         self.missing = 0
+        # Since when the request waits for its answer, as its host reports.
+        self.waiting_since = None
 
 
 class SlotTable:
@@ -200,9 +203,12 @@
                 continue
             known = self._holders.get(grant.grant_id)
             if known is None:
-                self.take(Holder(grant.grant_id, host, grant.unit, now))
-            else:
-                known.missing = 0
+                known = Holder(grant.grant_id, host, grant.unit, now)
+                self.take(known)
+            known.missing = 0
+            known.waiting_since = None
+            if grant.waiting_s is not None:
+                known.waiting_since = now - grant.waiting_s
         return self._drop_missing(host, listed, now)
 
     def lose_host(self, host, now):
--- a/lavenderstile/unanswered.py
+++ b/lavenderstile/unanswered.py
@@ -5,28 +5,63 @@
 # A request has run for this long, and nothing has been answered since it
 # began. Slow callers can cause that too, so a target is only suspect.
 SILENT_S = 2.0
+# A request that has waited longer than this times the slowest answer of the
+# service counts as failed before its deadline: with 3 slots and deadlines of
+# 5 s, a silent target has less than one outcome a second.
+OVERDUE_FACTOR = 1.5
+SLOWEST_MEMORY_S = 600.0
 # Failures without any answer that confirm the suspicion. A silent target
 # gets few requests, as its slots stay in use until the timeout.
 SILENT_FAILURES = 3
 SILENT_HOSTS = 2
+# Overdue requests that confirm it without any failure. Placement prefers
+# targets with free slots, so the third slot of a silent one fills slowly.
+OVERDUE_REQUESTS = 2
 
 
 class _Silence:
-    """A silent target, and the failures since it was noticed."""
+    """A silent target, and the failures since it was noticed.
 
-    __slots__ = ('failures',)
+    Overdue requests are (time, host) as failures are, but they are found
+    anew with each review.
+    """
+
+    __slots__ = ('failures', 'overdue')
 
     def __init__(self):
         self.failures = []
+        self.overdue = []
+
+
+class _SlowestAnswer:
+    """The longest time until an answer within the last minutes."""
+
+    __slots__ = ('_by_period',)
+
+    def __init__(self):
+        self._by_period = {}
+
+    def record(self, latency_s, now):
+        """Count an answer."""
+        period = int(now // SLOWEST_MEMORY_S)
+        if latency_s > self._by_period.get(period, 0.0):
+            self._by_period[period] = latency_s
+            for old in [key for key in self._by_period if key < period - 1]:
+                del self._by_period[old]
+
+    def get(self):
+        """Return the longest time, 0 without answers."""
+        return max(self._by_period.values(), default=0.0)
 
 
 class SilenceWatch:
     """Remembers the silent targets until they answer."""
 
-    __slots__ = ('_answered_at', '_silences')
+    __slots__ = ('_answered_at', '_silences', '_slowest')
 
     def __init__(self):
         self._silences = {}
+        self._slowest = _SlowestAnswer()
         self._answered_at = {}
 
     def clear(self):
@@ -34,8 +69,10 @@
         self._silences.clear()
         self._answered_at.clear()
 
-    def record(self, target, host, failed, now):
+    def record(self, target, host, failed, now, latency_s=None):
         """Count the outcome of a request."""
+        if latency_s is not None:
+            self._slowest.record(latency_s, now)
         if not failed:
             self._answered_at[target] = now
             self._silences.pop(target, None)
@@ -56,20 +93,35 @@
             answered_at = self._answered_at.get(address, oldest)
             if now - oldest >= SILENT_S and answered_at <= oldest:
                 self._silences.setdefault(address, _Silence())
+        for address, silence in self._silences.items():
+            silence.overdue = self._find_overdue(address, table, now)
         return frozenset(self._silences)
 
+    def _find_overdue(self, address, table, now):
+        limit_s = max(SILENT_S, OVERDUE_FACTOR * self._slowest.get())
+        return [
+            (now, holder.host)
+            for holder in table.holders_on(address)
+            if holder.waiting_since is not None
+            and now - holder.waiting_since >= limit_s
+        ]
+
     def judge(self, judgement):
         """Return the judgement, made bad if a silent target only fails."""
         silence = self._silences.get(judgement.target)
         if silence is None or judgement.bad:
             return judgement
-        failures = silence.failures
+        failures = silence.failures + silence.overdue
         hosts = {host for _, host in failures}
-        if len(failures) < SILENT_FAILURES or len(hosts) < SILENT_HOSTS:
+        enough = (
+            len(failures) >= SILENT_FAILURES
+            or len(silence.overdue) >= OVERDUE_REQUESTS
+        )
+        if not enough or len(hosts) < SILENT_HOSTS:
             return judgement
         return dataclasses.replace(
             judgement,
             severity=1.0,
-            reason=f'no answer, and {len(failures)} requests failed',
+            reason=f'no answer, and {len(failures)} requests failed or wait',
             bad_times=tuple(at for at, _ in failures),
         )
--- a/lavenderstile/wire.py
+++ b/lavenderstile/wire.py
@@ -104,7 +104,9 @@
     """Return the gRPC form of running grants."""
     return [
         peer_pb2.RunningGrant(
-            grant_id=grant.grant_id, unit=pack_unit(grant.unit)
+            grant_id=grant.grant_id,
+            unit=pack_unit(grant.unit),
+            waiting_s=grant.waiting_s,
         )
         for grant in grants
     ]
@@ -113,7 +115,12 @@
 def unpack_running(data, host):
     """Return the running grants that `host` reported."""
     return [
-        messages.RunningGrant(item.grant_id, host, unpack_unit(item.unit))
+        messages.RunningGrant(
+            item.grant_id,
+            host,
+            unpack_unit(item.unit),
+            item.waiting_s if item.HasField('waiting_s') else None,
+        )
         for item in data
     ]
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -34,6 +34,7 @@
         self.results = list(results)
         self.requests = []
         self.reports = []
+        self.waiting = set()
 
     async def acquire(self, request):
         """Return or raise the next result."""
@@ -44,6 +45,14 @@
         unit = messages.SlotUnit(request.service, result, 0)
         return messages.Grant('g', request.request_id, unit, f'd-{result}')
 
+    def note_sent(self, grant):
+        """Record that the whole request is being sent."""
+        self.waiting.add(grant.unit.target)
+
+    def note_answer(self, grant):
+        """Record that the answer has begun."""
+        self.waiting.discard(grant.unit.target)
+
     def release(self, grant, digest, outcome, **measured):
         """Record the report."""
         self.reports.append((grant.unit.target, outcome))
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -39,6 +39,39 @@
         self.watch.record(TARGET, 'h1', True, 14.0)
         self.assertTrue(self._judge().bad)
 
+    def _report_waiting(self, since, count=2):
+        for index in range(count):
+            unit = messages.SlotUnit('orders', TARGET, index)
+            holder = slots.Holder(f'w{index}', f'h{index}', unit, since)
+            holder.waiting_since = since
+            self.table.take(holder)
+
+    def test_requests_that_wait_too_long_confirm_it_before_they_fail(self):
+        """Deadlines of 5 s would delay the ejection by several seconds."""
+        self._report_waiting(1.5)
+        self._review(3.4)
+        self.assertFalse(self._judge().bad)
+        self._review(3.5)
+        self.assertTrue(self._judge().bad)
+
+    def test_requests_that_one_host_waits_for_confirm_nothing(self):
+        self._report_waiting(1.0, count=1)
+        self._review(9.0)
+        self.assertFalse(self._judge().bad)
+
+    def test_a_service_with_slow_answers_has_a_higher_limit(self):
+        self.watch.record('10.0.0.1:80', 'h9', False, 0.5, 8.0)
+        self._report_waiting(1.0)
+        self._review(12.9)
+        self.assertFalse(self._judge().bad)
+        self._review(13.0)
+        self.assertTrue(self._judge().bad)
+
+    def test_slow_uploads_and_downloads_confirm_nothing(self):
+        """Their hosts report no waiting time."""
+        self._review(60.0)
+        self.assertFalse(self._judge().bad)
+
     def test_an_answer_ends_it(self):
         self._review(3.0)
         for host in ('h0', 'h1', 'h2'):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -166,6 +166,9 @@
         self.assertEqual(wire.unpack_summary(packed), summary)
 
     def test_running_grants(self):
-        grants = [messages.RunningGrant('g1', '127.0.0.1', UNIT)]
+        grants = [
+            messages.RunningGrant('g1', '127.0.0.1', UNIT, waiting_s)
+            for waiting_s in (None, 0.0, 2.5)
+        ]
         packed = wire.pack_running(grants)
         self.assertEqual(wire.unpack_running(packed, '127.0.0.1'), grants)
