Let requests wait for the units of a dead owner

Cause of KillTest and PauseTest failing in a whole run with 503: a host that owns nothing keeps an idle admission object, whose lack of slots had begun long ago. The first requests after the owner's death were refused there at once (0.03 to 0.08 s after the kill, no_capacity, by the requests' own records). Besides, the wait of 4 s was shorter than the 5.3 s that a change of owner takes: 3.3 s of leases, up to 1 s to the next exchange, 1 s to settle. Ruled out: the lease itself and the liveness check.

Change: a lack of slots counts only while there are requests, and the waits are 6 s.

--- a/lavenderstile/admission.py
+++ b/lavenderstile/admission.py
@@ -247,6 +247,7 @@
             return refusals.refuse_retry(self._name)
         if not any(state.open for state in self._states.values()):
             return refusals.refuse_closed(self._name)
+        self._pace.record_demand(now)
         if self._pace.is_empty(now):
             return refusals.refuse_empty(self._name)
         return None
--- a/lavenderstile/pacing.py
+++ b/lavenderstile/pacing.py
@@ -1,8 +1,11 @@
 """How fast the slots of a service take requests."""
 
-# Requests wait at most this long while the owner holds no usable slot; the
-# units of a dead owner return after its leases (3.3 s).
-NO_CAPACITY_WAIT_S = 4.0
+# Requests wait at most this long while the owner holds no usable slot. After
+# the death of an owner its units are usable again within 5.3 s: 3.3 s until
+# the leases end, up to 1 s until the next exchange, and 1 s to settle.
+NO_CAPACITY_WAIT_S = 6.0
+# Without a request for this long, a lack of slots counts anew.
+QUIET_S = 2 * NO_CAPACITY_WAIT_S
 # Weight of the last hold in the mean time that a grant holds its unit.
 HOLD_WEIGHT = 0.05
 # A run may take this many mean times. With one, about 40% of the runs that
@@ -13,13 +16,20 @@
 class Pace:
     """The capacity of the targets and the time that a grant holds a slot."""
 
-    __slots__ = ('_empty_since', '_hold_s', '_states', '_table')
+    __slots__ = (
+        '_asked_at',
+        '_empty_since',
+        '_hold_s',
+        '_states',
+        '_table',
+    )
 
     def __init__(self, states, table):
         self._states = states
         self._table = table
         self._hold_s = None
         self._empty_since = None
+        self._asked_at = None
 
     @property
     def hold_s(self):
@@ -53,6 +63,17 @@
         else:
             self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
 
+    def record_demand(self, now):
+        """Count a request.
+
+        A lack of slots counts only while there are requests. A host that
+        owns nothing has none at all times; the first requests after the
+        death of an owner have to wait there until the units arrive.
+        """
+        if self._asked_at is None or (now - self._asked_at >= QUIET_S):
+            self._empty_since = None
+        self._asked_at = now
+
     def is_empty(self, now):
         """Return whether there has been no usable slot for too long."""
         if any(s.capacity(self._table) for s in self._states.values()):
--- a/lavenderstile/slot_client.py
+++ b/lavenderstile/slot_client.py
@@ -6,6 +6,7 @@
 from . import gate
 from . import membership
 from . import messages
+from . import pacing
 from . import verdicts
 from . import wire
 
@@ -14,9 +15,9 @@
 LIVENESS_CHECK_S = 0.25
 # Pause between rounds while no owner answers.
 RETRY_DELAY_S = 0.1
-# Without an owner for this long a request is refused: a lease plus margin,
-# after which another host owns the service.
-OWNER_WAIT_S = 4.0
+# Without an owner for this long a request is refused; see
+# pacing.NO_CAPACITY_WAIT_S for how long a change of owner takes.
+OWNER_WAIT_S = pacing.NO_CAPACITY_WAIT_S
 # Allowance for the way back of an answer given at the deadline.
 REPLY_ALLOWANCE_S = 0.2
 
