--- a/lavenderstile/entry.py
+++ b/lavenderstile/entry.py
@@ -11,22 +11,9 @@
 from . import problems
 from . import verdicts
 
-# Headers of a target's answer that the host replaces or that concern only
-# one connection (RFC 9110, section 7.6.1).
+# Headers of a target's answer that only concern this host.
 DROPPED_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'x-request-id',
-        b'x-request-not-run',
-        b'lavenderstile-verdict',
-    )
+    (b'x-request-id', b'x-request-not-run', b'lavenderstile-verdict')
 )
 
 
