List running grants in the replies of exchanges too

Cause: with a one-way cut an entry host may get a slot through another host (the relay), while its own exchanges do not reach the owner. The owner still hears the entry host by its own exchanges, so it neither counted the host as lost nor got a list of its grants, and a lost release left the slot taken for ever. Found by reading the code.

Change: the reply to an exchange lists the grants as the request does.

--- a/lavenderstile/peer_exchange.py
+++ b/lavenderstile/peer_exchange.py
@@ -153,6 +153,7 @@
         report = self._read_report(reply)
         if not self._membership.record_success(report, self.now()):
             return
+        self._post_running(reply.running, report.address)
         if reply.HasField('grant'):
             self._owner.post(
                 owner_messages.Borrow(
@@ -175,8 +176,10 @@
         return reply
 
     async def _answer_borrower(self, request, report, reply):
-        running = wire.unpack_running(request.running, report.address)
-        self._owner.post(owner_messages.Adopt(report.address, tuple(running)))
+        self._post_running(request.running, report.address)
+        reply.running.extend(
+            wire.pack_running(self._running_for(report.address))
+        )
         for summary in request.summaries:
             self._owner.post(
                 owner_messages.Inherit(wire.unpack_summary(summary))
@@ -188,6 +191,11 @@
         if grant is not None:
             reply.grant.CopyFrom(wire.pack_lease(grant))
 
+    def _post_running(self, data, address):
+        """Pass the complete list of grants that a host uses to the owner."""
+        running = wire.unpack_running(data, address)
+        self._owner.post(owner_messages.Adopt(address, tuple(running)))
+
     def _note_configuration(self, message, endpoint):
         """Fetch tickets from a peer whose configuration differs."""
         digest = message.configuration_digest
