--- a/benchmarks/measure/rate_run.py
+++ b/benchmarks/measure/rate_run.py
@@ -3,11 +3,13 @@
 import collections
 import types
 
+from lavenderstile import borrowing
+from lavenderstile import lending
 from lavenderstile import membership
 from lavenderstile import messages
 from lavenderstile import ownership
 from lavenderstile import rates
-from lavenderstile import rights
+from lavenderstile import shares
 
 from . import engine as engine_module
 from . import figures
@@ -44,14 +46,16 @@
             address, sizes.host_domain(address), incarnation
         )
         self.ownership = ownership.Ownership(self.membership, configuration)
-        self.lender = rights.Lender(address, now)
-        self.borrower = rights.Borrower(address, incarnation)
+        self.lender = lending.Lender(address, now)
+        self.borrower = borrowing.Borrower(address, incarnation)
         # Until when a workspace's requests are refused here.
         self.denied_until = collections.Counter()
         fleet = configuration.fleet
-        shares = rights.share_rates(configuration.workspaces.values(), fleet)
+        own_shares = shares.share_rates(
+            configuration.workspaces.values(), fleet
+        )
         # The configuration has been in force for long.
-        self.lender.set_rights(shares, frozenset(), now, SETTLED_S)
+        self.lender.set_rights(own_shares, frozenset(), now, SETTLED_S)
 
     def report(self, now):
         """Return what the process says of itself in an exchange."""
@@ -290,19 +294,19 @@
             )
             for name, times in self.taken.items()
         )
-        shares = {
+        refused_parts = {
             name: self.refused[name] / allowed
             for name, allowed in self.allowed.items()
             if name != sizes.NOISY
         }
-        quiet = sum(self.allowed[name] for name in shares)
-        refused = sum(self.refused[name] for name in shares)
+        quiet = sum(self.allowed[name] for name in refused_parts)
+        refused = sum(self.refused[name] for name in refused_parts)
         got = len(self.taken[sizes.NOISY]) / self.allowed[sizes.NOISY]
         return {
             'overshoot requests': round(overshoot, 3),
             'false refusals %': round(100 * refused / quiet, 4),
             'false refusals of the worst workspace %': round(
-                100 * max(shares.values()), 4
+                100 * max(refused_parts.values()), 4
             ),
             'noisy workspace, part of its rate': round(got, 4),
         }
--- a/benchmarks/measure/service_scenarios.py
+++ b/benchmarks/measure/service_scenarios.py
@@ -2,7 +2,8 @@
 
 import functools
 
-from lavenderstile import rights
+from lavenderstile import leases
+from lavenderstile import shares
 
 from . import figures
 from . import service_run
@@ -150,22 +151,22 @@
 
 def _plan_outage(run, lost):
     """Plan the domain's tickets, and the loss of its hosts and units."""
-    units = rights.list_units([run.service])
+    units = shares.list_units([run.service])
     kept = [
         unit
         for unit in units
-        if sizes.host_domain(rights.find_unit_home(unit, run.hosts)) != lost
+        if sizes.host_domain(shares.find_unit_home(unit, run.hosts)) != lost
     ]
     after = run.engine.after
     after(LEAVE_S, run.policy.configure, frozenset({lost}))
     after(
-        LEAVE_S + NOTICE_S + rights.LEASE_DURATION_S,
+        LEAVE_S + NOTICE_S + leases.LEASE_DURATION_S,
         run.policy.set_units,
         kept,
     )
     after(RETURN_S, _fall_cold, run, lost)
     after(RETURN_S, run.policy.configure, frozenset())
-    after(RETURN_S + rights.LENDER_HOLD_S + 1.0, run.policy.set_units, units)
+    after(RETURN_S + leases.LENDER_HOLD_S + 1.0, run.policy.set_units, units)
 
 
 def _fall_cold(run, domain):
--- a/lavenderstile/host_rights.py
+++ b/lavenderstile/host_rights.py
@@ -2,7 +2,10 @@
 
 import eliot
 
-from . import rights
+from . import borrowing
+from . import leases
+from . import lending
+from . import shares
 
 
 class HostRights:
@@ -16,8 +19,8 @@
         self._ages = ages
         self._generation = -1
         self._heard_at = None
-        self._lender = rights.Lender(membership.address, clock.now())
-        self._borrower = rights.Borrower(
+        self._lender = lending.Lender(membership.address, clock.now())
+        self._borrower = borrowing.Borrower(
             membership.address, membership.incarnation
         )
 
@@ -53,10 +56,10 @@
         addresses = configuration.fleet.addresses
         rates, units = {}, frozenset()
         if address in addresses:
-            rates = rights.share_rates(
+            rates = shares.share_rates(
                 configuration.workspaces.values(), addresses, address
             )
-            units = rights.home_units(
+            units = shares.home_units(
                 address, configuration.services.values(), addresses
             )
         in_force_s = self._ages.get_age(configuration.digest, now)
@@ -76,7 +79,7 @@
         if heard_at is None:
             return False
         self._heard_at = heard_at
-        if before is None or heard_at - before <= rights.MISSED_CHANGE_S:
+        if before is None or heard_at - before <= leases.MISSED_CHANGE_S:
             return False
         self._lender.hold_back(now)
         eliot.log_message('rights_held_back', seconds=heard_at - before)
--- /dev/null
+++ b/lavenderstile/lending.py
@@ -0,0 +1,424 @@
+"""Lending of the rights whose home is this host.
+
+Each address of the published fleet holds a share of every limit. A right is
+either at its home or lent to one borrower under a lease.
+"""
+
+import dataclasses
+
+import xxhash
+
+from . import leases
+from . import messages
+from . import rates
+
+# Shares are pairs of rate and burst in millionths.
+NO_SHARE = (0, 0)
+# Share of a slot unit that is homed here, in the form of a rate's share.
+UNIT_SHARE = (1, 1)
+
+# Answer to an outdated process; borrowers ignore lease 0.
+NO_GRANT = messages.LeaseGrant(0, 0, 0.0, ())
+
+
+class _LentRate:
+    """A workspace's right at its lender; `lease` is None at home.
+
+    `wanted` is the configured share, `share` the part of it that applies.
+    """
+
+    __slots__ = ('bucket', 'lease', 'moved_micro', 'share', 'wanted')
+
+    def __init__(self, now):
+        self.share = NO_SHARE
+        self.wanted = NO_SHARE
+        self.lease = None
+        self.bucket = rates.Bucket(now)
+        self.moved_micro = 0
+
+    @property
+    def is_gone(self):
+        """Whether nothing is left of the right, now or later."""
+        return self.share == self.wanted == NO_SHARE and self.lease is None
+
+    def lend(self, lease, now):
+        """Move the right and its tokens to a lease."""
+        self.bucket.settle(now)
+        self.moved_micro = self.bucket.drain()
+        self.lease = lease
+
+    def come_home(self, since, tokens_micro):
+        """Take the right back; it accrues tokens again from `since`."""
+        self.lease = None
+        self.moved_micro = 0
+        self.bucket = rates.Bucket(since, *self.share, tokens_micro)
+
+    def set_share(self, share, now):
+        """Apply a share at once."""
+        if self.lease is None:
+            self.bucket.settle(now)
+            self.bucket.resize(*share)
+        self.share = share
+
+    def make_item(self, workspace):
+        """Return the item that tells the borrower of this right."""
+        rate_micro, burst_micro = self.share
+        return messages.RateItem(
+            workspace, rate_micro, burst_micro, self.moved_micro
+        )
+
+
+class _LentUnit:
+    """A slot unit at its lender, like `_LentRate`."""
+
+    __slots__ = ('lease', 'share', 'wanted')
+
+    def __init__(self, _now):
+        self.share = NO_SHARE
+        self.wanted = NO_SHARE
+        self.lease = None
+
+    @property
+    def is_gone(self):
+        """Whether nothing is left of the right, now or later."""
+        return self.share == self.wanted == NO_SHARE and self.lease is None
+
+    def lend(self, lease, _now):
+        """Move the unit to a lease."""
+        self.lease = lease
+
+    def come_home(self, _since, _tokens_micro):
+        """Take the unit back."""
+        self.lease = None
+
+    def set_share(self, share, _now):
+        """Apply a share at once."""
+        self.share = share
+
+    def make_item(self, unit):
+        """Return the item that tells the borrower of this right."""
+        return unit
+
+
+class _Lease:
+    """A lease as its lender knows it.
+
+    `removed` maps each right that left the list, but that the borrower may
+    still use, to the version that left it out. `basis` is what `items` were
+    made from.
+    """
+
+    __slots__ = (
+        'acknowledged',
+        'basis',
+        'borrower',
+        'incarnation',
+        'items',
+        'lease_id',
+        'removed',
+        'until',
+        'version',
+    )
+
+    def __init__(self, borrower, incarnation, lease_id):
+        self.borrower = borrower
+        self.incarnation = incarnation
+        self.lease_id = lease_id
+        self.version = 1
+        self.acknowledged = 0
+        self.basis = None
+        self.items = {}
+        self.removed = {}
+        self.until = 0.0
+
+    def holds(self):
+        """Return the keys of all rights that the borrower may use."""
+        return [*self.items, *self.removed]
+
+
+class Lender:
+    """Lends the rights whose home is this address.
+
+    Rights are keyed by workspace name or by slot unit.
+    """
+
+    __slots__ = (
+        '_address',
+        '_changes',
+        '_ended',
+        '_fleet_version',
+        '_grow_from',
+        '_is_growing',
+        '_last_lease_id',
+        '_leases',
+        '_quarantine_until',
+        '_rights',
+        '_settled_at',
+    )
+
+    def __init__(self, address, now):
+        self._address = address
+        # A predecessor at this address may have lent the rights just
+        # before it ended.
+        self._quarantine_until = now + leases.LENDER_HOLD_S
+        self._rights = {}
+        # Number of changes of rights that can change the items of a lease;
+        # without one, a renewal does not look at every right.
+        self._changes = 0
+        self._fleet_version = None
+        # Time from which larger shares apply, and whether some wait for it.
+        self._grow_from = now + leases.GROWTH_DELAY_S
+        self._is_growing = False
+        self._settled_at = now
+        self._leases = {}
+        # Leases of earlier incarnations of borrowers, until their end.
+        self._ended = []
+        # Lease ids of a predecessor must not match, or a late message
+        # about its leases would end or acknowledge one of this process.
+        seed = f'{address}\0{now!r}'.encode()
+        self._last_lease_id = xxhash.xxh3_64_intdigest(seed) >> 1
+
+    def set_rights(
+        self, shares, units, now, in_force_s=0.0, fleet_version=None
+    ):
+        """Set this host's shares of the rates and its slot units.
+
+        Smaller shares apply at once. Larger ones do if the published list
+        of addresses is the same as before: nothing moves from host to host
+        then. Under a new list they apply `GROWTH_DELAY_S` after it was
+        published. `fleet_version` names the list; it differs for each
+        change, also for one that restores an earlier list, and None stands
+        for a new one. `in_force_s` is for how long at least the list is
+        known to have been published, for example because a peer that now
+        has it in force has had it for that time.
+        """
+        self._settle(now)
+        grow_from = max(
+            now + leases.GROWTH_DELAY_S - in_force_s, self._quarantine_until
+        )
+        if fleet_version is not None and fleet_version == self._fleet_version:
+            grow_from = min(grow_from, self._grow_from)
+        self._fleet_version = fleet_version
+        self._grow_from = grow_from
+        wanted = dict(shares)
+        wanted.update(dict.fromkeys(sorted(units), UNIT_SHARE))
+        for key in [*wanted, *(self._rights.keys() - wanted.keys())]:
+            self._set_right(key, wanted.get(key, NO_SHARE), now)
+        self._changes += 1
+        self._settle(now)
+
+    def hold_back(self, now):
+        """Stop lending for `GROWTH_DELAY_S`, as a list may have been missed.
+
+        A list that was in force meanwhile may have moved the rights to other
+        hosts, even if they belong here again. Called after a pause, and for
+        a host that had no news for longer than `MISSED_CHANGE_S`.
+        """
+        for right in self._rights.values():
+            right.set_share(NO_SHARE, now)
+        self._fleet_version = None
+        self._grow_from = now + leases.GROWTH_DELAY_S
+        self._is_growing = True
+        self._changes += 1
+
+    def grant(self, request, owned_workspaces, owned_services, now):
+        """Answer a borrower that owns the given workspaces and services."""
+        self._settle(now)
+        lease = self._find_lease(request)
+        if lease is None:
+            return NO_GRANT
+        if request.known_lease == lease.lease_id:
+            self._acknowledge(lease, request, now)
+        self._update_items(lease, owned_workspaces, owned_services, now)
+        lease.until = now + leases.LENDER_HOLD_S
+        known = (request.known_lease, request.known_version)
+        if known == (lease.lease_id, lease.version):
+            items = None
+        else:
+            items = tuple(lease.items.values())
+        return messages.LeaseGrant(
+            lease.lease_id, lease.version, leases.LEASE_DURATION_S, items
+        )
+
+    def take_back(self, rights_return, now):
+        """End a lease that its borrower has given back."""
+        self._settle(now)
+        lease = self._leases.get(rights_return.borrower)
+        if lease is None or not self._matches(lease, rights_return):
+            lease = self._find_ended(rights_return)
+        if lease is None:
+            return
+        self._forget_lease(lease)
+        tokens = {
+            item.workspace: item.tokens_micro for item in rights_return.tokens
+        }
+        for key in lease.holds():
+            self._rights[key].come_home(now, tokens.get(key, 0))
+        self._changes += 1
+        self._drop_gone()
+
+    def dump(self, now):
+        """Return the state for the admin API."""
+        self._settle(now)
+        leases = [*self._leases.values(), *self._ended]
+        return {
+            'address': self._address,
+            'quarantine_s': max(0.0, self._quarantine_until - now),
+            'rates': {
+                key: self._dump_rate(right)
+                for key, right in self._rights.items()
+                if isinstance(right, _LentRate)
+            },
+            'units': [
+                {
+                    **dataclasses.asdict(key),
+                    'lent_to': right.lease and right.lease.borrower,
+                }
+                for key, right in self._rights.items()
+                if isinstance(right, _LentUnit)
+            ],
+            'leases': [self._dump_lease(lease, now) for lease in leases],
+        }
+
+    def _dump_rate(self, right):
+        rate_micro, burst_micro = right.share
+        return {
+            'rate_micro': rate_micro,
+            'burst_micro': burst_micro,
+            'tokens_micro': right.bucket.level_micro,
+            'lent_to': right.lease and right.lease.borrower,
+            'growing': right.share != right.wanted,
+        }
+
+    def _dump_lease(self, lease, now):
+        return {
+            'borrower': lease.borrower,
+            'incarnation': lease.incarnation,
+            'lease_id': lease.lease_id,
+            'version': lease.version,
+            'acknowledged': lease.acknowledged,
+            'items': len(lease.items),
+            'awaiting_acknowledgement': len(lease.removed),
+            'held_s': lease.until - now,
+        }
+
+    def _set_right(self, key, wanted, now):
+        right = self._rights.get(key)
+        if right is None:
+            kind = _LentRate if isinstance(key, str) else _LentUnit
+            right = self._rights[key] = kind(now)
+        right.wanted = wanted
+        smaller = tuple(map(min, right.share, wanted))
+        if smaller != right.share:
+            right.set_share(smaller, now)
+        if wanted != smaller:
+            self._is_growing = True
+
+    def _settle(self, now):
+        changes = self._changes
+        for lease in [*self._leases.values(), *self._ended]:
+            if lease.until <= now:
+                self._forget_lease(lease)
+                for key in lease.holds():
+                    self._rights[key].come_home(lease.until, 0)
+                self._changes += 1
+        if now - self._settled_at > leases.MISSED_CHANGE_S:
+            self.hold_back(now)
+        self._settled_at = max(self._settled_at, now)
+        if self._is_growing and self._grow_from <= now:
+            self._grow(now)
+        if self._changes != changes:
+            self._drop_gone()
+
+    def _grow(self, now):
+        for right in self._rights.values():
+            if right.share != right.wanted:
+                right.set_share(right.wanted, now)
+        self._is_growing = False
+        self._changes += 1
+
+    def _drop_gone(self):
+        gone = [key for key, right in self._rights.items() if right.is_gone]
+        for key in gone:
+            del self._rights[key]
+
+    def _find_lease(self, request):
+        lease = self._leases.get(request.borrower)
+        if lease is not None:
+            if request.incarnation < lease.incarnation:
+                return None
+            if request.incarnation == lease.incarnation:
+                return lease
+            # The earlier process may only be paused, so its rights stay
+            # lent until its lease has surely ended.
+            self._ended.append(lease)
+        self._last_lease_id += 1
+        lease = _Lease(
+            request.borrower, request.incarnation, self._last_lease_id
+        )
+        self._leases[request.borrower] = lease
+        return lease
+
+    def _find_ended(self, rights_return):
+        for lease in self._ended:
+            if self._matches(lease, rights_return):
+                return lease
+        return None
+
+    def _matches(self, lease, rights_return):
+        return (
+            lease.borrower == rights_return.borrower
+            and lease.incarnation == rights_return.incarnation
+            and lease.lease_id == rights_return.lease_id
+        )
+
+    def _forget_lease(self, lease):
+        if self._leases.get(lease.borrower) is lease:
+            del self._leases[lease.borrower]
+        else:
+            self._ended.remove(lease)
+
+    def _acknowledge(self, lease, request, now):
+        # A right that is still to be freed was taken away by a version that
+        # no earlier request knew, so the returned tokens are not old ones.
+        tokens = {
+            item.workspace: item.tokens_micro for item in request.returned
+        }
+        lease.acknowledged = max(lease.acknowledged, request.known_version)
+        stopped = [
+            key
+            for key, removed_in in lease.removed.items()
+            if removed_in <= lease.acknowledged
+        ]
+        for key in stopped:
+            del lease.removed[key]
+            self._rights[key].come_home(now, tokens.get(key, 0))
+        if stopped:
+            self._changes += 1
+            self._drop_gone()
+
+    def _update_items(self, lease, owned_workspaces, owned_services, now):
+        basis = (self._changes, owned_workspaces, owned_services)
+        if basis == lease.basis:
+            return
+        lease.basis = basis
+        items = {}
+        for key, right in self._rights.items():
+            if right.share == NO_SHARE:
+                continue
+            if isinstance(key, str):
+                owned = key in owned_workspaces
+            else:
+                owned = key.service in owned_services
+            if not owned or key in lease.removed:
+                continue
+            if right.lease is None:
+                right.lend(lease, now)
+            if right.lease is lease:
+                items[key] = right.make_item(key)
+        if items == lease.items:
+            return
+        lease.version += 1
+        for key in lease.items.keys() - items.keys():
+            lease.removed[key] = lease.version
+        lease.items = items
--- a/lavenderstile/owner.py
+++ b/lavenderstile/owner.py
@@ -6,8 +6,8 @@
 
 from . import claims
 from . import host_rights
+from . import leases
 from . import owner_messages
-from . import rights
 from . import service_owner
 
 TICK_INTERVAL_S = 0.1
@@ -194,7 +194,7 @@
 
     def _wake(self, duration_s, now):
         self._services.drop_evidence(now)
-        if duration_s > rights.MISSED_CHANGE_S:
+        if duration_s > leases.MISSED_CHANGE_S:
             self._claim_home.hold_back(self._clock.unix())
 
     def _tick(self, now):
--- a/lavenderstile/ownership.py
+++ b/lavenderstile/ownership.py
@@ -1,7 +1,7 @@
 """Assignment of workspaces and services to the hosts that own them."""
 
 from . import hashing
-from . import rights
+from . import shares
 
 
 def service_item(name):
@@ -39,8 +39,8 @@
         if workspace is None:
             return []
         view = self._membership.view(now)
-        owners = rights.list_owners(workspace, view)
-        first = rights.find_owner(workspace, self._membership.address, view)
+        owners = shares.list_owners(workspace, view)
+        first = shares.find_owner(workspace, self._membership.address, view)
         others = [owner for owner in owners if owner != first]
         rest = [host for host in view if host not in owners]
         return [first, *others, *hashing.rank(name, rest)[:1]]
@@ -71,7 +71,7 @@
         workspaces = {address: [] for address in view}
         services = {address: [] for address in view}
         for name, workspace in self._configuration.workspaces.items():
-            owner = rights.find_owner(
+            owner = shares.find_owner(
                 workspace, self._membership.address, view
             )
             workspaces[owner].append(name)
--- a/lavenderstile/readiness.py
+++ b/lavenderstile/readiness.py
@@ -1,14 +1,14 @@
 """Whether a host may get requests, and why not."""
 
+from . import leases
 from . import membership as membership_module
-from . import rights
 
 # A host without any contact cannot learn of withdrawn keys; it leaves the
 # balancer after this time.
 ALONE_LIMIT_S = 10.0
 # A new fleet cannot know whether another list of addresses was in force just
 # before; it may not use its rights earlier and would refuse all requests.
-START_WAIT_S = rights.GROWTH_DELAY_S
+START_WAIT_S = leases.GROWTH_DELAY_S
 
 
 class Readiness:
--- /dev/null
+++ b/lavenderstile/shares.py
@@ -0,0 +1,85 @@
+"""Shares of rates and slot units by host, and the owners of workspaces."""
+
+from . import hashing
+from . import messages
+
+# Most pools of one workspace, and the least burst for each. With four pools
+# an owner's death refuses less than a tenth of what it refuses with one. A
+# pool that holds fewer tokens refuses requests inside the rate.
+MAX_OWNERS = 4
+OWNER_BURST = 12
+
+
+def share_rates(workspaces, fleet_addresses, address=None):
+    """Return one host's share of each workspace's rate and burst.
+
+    The result maps workspace names to (rate, burst) in millionths. With the
+    host's `address` the shares sum to the limit exactly, so that a burst of
+    one request is usable, and a host outside the list gets nothing. Without
+    it they are rounded down.
+    """
+    addresses = sorted(fleet_addresses)
+    if address is None:
+        position = len(addresses)
+    elif address in addresses:
+        position = addresses.index(address)
+    else:
+        return {}
+    if not addresses:
+        return {}
+    return {
+        workspace.name: (
+            _share(workspace.rate, len(addresses), position),
+            _share(workspace.burst, len(addresses), position),
+        )
+        for workspace in workspaces
+    }
+
+
+def _share(limit, count, position):
+    share, rest = divmod(round(limit * messages.MICRO), count)
+    return share + 1 if position < rest else share
+
+
+def list_units(services):
+    """Return all slot units of `services`."""
+    return [
+        messages.SlotUnit(service.name, target.address, index)
+        for service in services
+        for target in service.targets
+        for index in range(target.slots)
+    ]
+
+
+def home_units(address, services, fleet_addresses):
+    """Return the slot units whose home is `address`."""
+    return frozenset(
+        unit
+        for unit in list_units(services)
+        if find_unit_home(unit, fleet_addresses) == address
+    )
+
+
+def find_unit_home(unit, fleet_addresses):
+    """Return the address that lends `unit`."""
+    item = f'{unit.service}\0{unit.target}\0{unit.index}'
+    return hashing.top(item, fleet_addresses)
+
+
+def list_owners(workspace, members):
+    """Return the owners of a workspace's pools among the live `members`.
+
+    A workspace with a large burst has several pools, so that the death of
+    an owner takes only a part of its rate until the leases end.
+    """
+    count = max(1, min(MAX_OWNERS, int(workspace.burst // OWNER_BURST)))
+    return hashing.rank(workspace.name, members)[:count]
+
+
+def find_owner(workspace, address, members):
+    """Return the owner that host `address` lends to, and asks first.
+
+    When an owner is lost, only its own lenders move to another.
+    """
+    owners = list_owners(workspace, members)
+    return hashing.top(f'{workspace.name}\0{address}', owners)
--- a/tests/standins/rate_load.py
+++ b/tests/standins/rate_load.py
@@ -8,10 +8,12 @@
 import heapq
 import random
 
+from lavenderstile import borrowing
+from lavenderstile import lending
 from lavenderstile import messages
 from lavenderstile import models
 from lavenderstile import rates
-from lavenderstile import rights
+from lavenderstile import shares
 
 HOSTS = tuple(f'10.0.0.{number}' for number in range(1, 49))
 # A few large workspaces and several small ones.
@@ -39,7 +41,7 @@
 
     def __init__(
         self,
-        find_owner=rights.find_owner,
+        find_owner=shares.find_owner,
         acknowledges=True,
         asks_former=True,
         absent=(),
@@ -52,12 +54,12 @@
         self._views = dict.fromkeys(HOSTS, view)
         self._former = dict.fromkeys(HOSTS, (view, 0.0))
         self._owners = {}
-        self._lenders = {host: rights.Lender(host, 0.0) for host in HOSTS}
-        self._borrowers = {host: rights.Borrower(host, 1) for host in HOSTS}
+        self._lenders = {host: lending.Lender(host, 0.0) for host in HOSTS}
+        self._borrowers = {host: borrowing.Borrower(host, 1) for host in HOSTS}
         self.calls = 0
         for host, lender in self._lenders.items():
-            shares = rights.share_rates(WORKSPACES, HOSTS, host)
-            lender.set_rights(shares, frozenset(), 0.0, in_force_s=60.0)
+            own_shares = shares.share_rates(WORKSPACES, HOSTS, host)
+            lender.set_rights(own_shares, frozenset(), 0.0, in_force_s=60.0)
         chance = random.Random(0)
         self._due = [
             (chance.random(), borrower, lender)
@@ -128,11 +130,11 @@
     """Each host spends its own share of each rate: the baseline."""
 
     def __init__(self):
-        shares = rights.share_rates(WORKSPACES, HOSTS)
+        own_shares = shares.share_rates(WORKSPACES, HOSTS)
         self._buckets = {
             (host, name): rates.Bucket(0.0, *share)
             for host in HOSTS
-            for name, share in shares.items()
+            for name, share in own_shares.items()
         }
 
     def run_until(self, now):
@@ -152,9 +154,10 @@
     """One bucket for the whole fleet: the definition of the limit."""
 
     def __init__(self):
-        shares = rights.share_rates(WORKSPACES, HOSTS[:1])
+        own_shares = shares.share_rates(WORKSPACES, HOSTS[:1])
         self._buckets = {
-            name: rates.Bucket(0.0, *share) for name, share in shares.items()
+            name: rates.Bucket(0.0, *share)
+            for name, share in own_shares.items()
         }
 
     def run_until(self, now):
@@ -172,7 +175,7 @@
 
 def find_single_owner(workspace, _address, members):
     """Return the only owner of a workspace, for comparison."""
-    return rights.find_owner(
+    return shares.find_owner(
         models.Workspace(workspace.name, (), 0.0, 0.0), '', members
     )
 
@@ -246,8 +249,8 @@
 def print_table():
     """Print the refusals of all variants."""
     one = find_single_owner
-    several = rights.find_owner
-    owner = (rights.find_owner(WORKSPACES[0], HOSTS[0], HOSTS),)
+    several = shares.find_owner
+    owner = (shares.find_owner(WORKSPACES[0], HOSTS[0], HOSTS),)
     single_owner = (one(WORKSPACES[0], HOSTS[0], HOSTS),)
 
     def show(label, make, plan=None, seconds=12, **options):
--- a/tests/standins/rights_fleet.py
+++ b/tests/standins/rights_fleet.py
@@ -6,11 +6,13 @@
 
 import dataclasses
 
+from lavenderstile import borrowing
 from lavenderstile import clocks
 from lavenderstile import hashing
+from lavenderstile import lending
 from lavenderstile import messages
 from lavenderstile import models
-from lavenderstile import rights
+from lavenderstile import shares
 
 # Both are owned by host h0 while it is in the view.
 WORKSPACE = 'shop'
@@ -48,8 +50,8 @@
         )
         services = [models.Service(SERVICE, targets)]
         return (
-            rights.share_rates([workspace], self.addresses, address),
-            rights.home_units(address, services, self.addresses),
+            shares.share_rates([workspace], self.addresses, address),
+            shares.home_units(address, services, self.addresses),
         )
 
 
@@ -147,8 +149,8 @@
     def __init__(
         self,
         clock_rates=(1.0, 0.95, 0.91),
-        lender_class=rights.Lender,
-        borrower_class=rights.Borrower,
+        lender_class=lending.Lender,
+        borrower_class=borrowing.Borrower,
         rate=6.0,
         burst=9.0,
     ):
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -2,9 +2,12 @@
 
 import unittest
 
+from lavenderstile import borrowing
+from lavenderstile import leases
+from lavenderstile import lending
 from lavenderstile import messages
 from lavenderstile import models
-from lavenderstile import rights
+from lavenderstile import shares
 
 MICRO = messages.MICRO
 UNIT = messages.SlotUnit('orders', '10.0.0.1:80', 0)
@@ -15,7 +18,7 @@
 
 def make_lender(units=frozenset(), start=0.0, until=FULL):
     """Return a lender that was called every second up to `until`."""
-    lender = rights.Lender('a', start)
+    lender = lending.Lender('a', start)
     lender.set_rights(
         {'w': SHARE}, units, start, in_force_s=60.0, fleet_version='f'
     )
@@ -30,7 +33,7 @@
     def __init__(self, lender, name='b', incarnation=1):
         self.lender = lender
         self.lender_incarnation = 1
-        self.borrower = rights.Borrower(name, incarnation)
+        self.borrower = borrowing.Borrower(name, incarnation)
         self.owns = True
 
     def ask(self, now):
@@ -64,8 +67,8 @@
 
     def test_shares_sum_to_at_most_the_limit(self):
         workspace = models.Workspace('w', (), rate=100.0, burst=50.0)
-        shares = rights.share_rates([workspace], self.ADDRESSES)
-        rate_micro, burst_micro = shares['w']
+        own_shares = shares.share_rates([workspace], self.ADDRESSES)
+        rate_micro, burst_micro = own_shares['w']
         self.assertLessEqual(rate_micro * 48, 100 * MICRO)
         self.assertGreater((rate_micro + 1) * 48, 100 * MICRO)
         self.assertLessEqual(burst_micro * 48, 50 * MICRO)
@@ -74,23 +77,25 @@
         # A burst of 1 that is rounded down is under one token, and nothing
         # would run.
         workspace = models.Workspace('w', (), rate=100.0, burst=1.0)
-        shares = [
-            rights.share_rates([workspace], self.ADDRESSES, address)['w']
+        own_shares = [
+            shares.share_rates([workspace], self.ADDRESSES, address)['w']
             for address in self.ADDRESSES
         ]
-        self.assertEqual(sum(rate for rate, _ in shares), 100 * MICRO)
-        self.assertEqual(sum(burst for _, burst in shares), MICRO)
-        self.assertLessEqual(max(shares)[0] - min(shares)[0], 1)
+        self.assertEqual(sum(rate for rate, _ in own_shares), 100 * MICRO)
+        self.assertEqual(sum(burst for _, burst in own_shares), MICRO)
+        self.assertLessEqual(max(own_shares)[0] - min(own_shares)[0], 1)
 
     def test_address_outside_the_fleet_has_no_share(self):
         workspace = models.Workspace('w', (), rate=1.0, burst=1.0)
-        shares = rights.share_rates([workspace], self.ADDRESSES, '192.0.2.1')
-        self.assertEqual(shares, {})
+        own_shares = shares.share_rates(
+            [workspace], self.ADDRESSES, '192.0.2.1'
+        )
+        self.assertEqual(own_shares, {})
 
     def test_no_fleet_has_no_shares(self):
         workspace = models.Workspace('w', (), rate=1.0, burst=1.0)
-        self.assertEqual(rights.share_rates([workspace], ()), {})
-        self.assertEqual(rights.share_rates([workspace], (), 'a'), {})
+        self.assertEqual(shares.share_rates([workspace], ()), {})
+        self.assertEqual(shares.share_rates([workspace], (), 'a'), {})
 
     def test_each_unit_has_one_home(self):
         targets = tuple(
@@ -99,7 +104,7 @@
         )
         service = models.Service('heat-sheets', targets)
         homes = [
-            rights.home_units(address, [service], self.ADDRESSES)
+            shares.home_units(address, [service], self.ADDRESSES)
             for address in self.ADDRESSES
         ]
         self.assertEqual(sum(map(len, homes)), 36)
@@ -116,36 +121,36 @@
 
     def test_number_of_owners_follows_the_burst(self):
         for burst, count in ((0, 1), (23, 1), (24, 2), (48, 4), (500, 4)):
-            owners = rights.list_owners(
+            owners = shares.list_owners(
                 self.make_workspace(burst), self.MEMBERS
             )
             self.assertEqual(len(owners), count)
 
     def test_small_fleet_has_fewer_owners(self):
         workspace = self.make_workspace(500)
-        self.assertEqual(rights.list_owners(workspace, ['a']), ['a'])
-        self.assertIsNone(rights.find_owner(workspace, 'a', []))
+        self.assertEqual(shares.list_owners(workspace, ['a']), ['a'])
+        self.assertIsNone(shares.find_owner(workspace, 'a', []))
 
     def test_each_owner_gets_lenders(self):
         workspace = self.make_workspace(500)
         found = {
-            rights.find_owner(workspace, address, self.MEMBERS)
+            shares.find_owner(workspace, address, self.MEMBERS)
             for address in self.MEMBERS
         }
-        owners = rights.list_owners(workspace, self.MEMBERS)
+        owners = shares.list_owners(workspace, self.MEMBERS)
         self.assertEqual(found, set(owners))
 
     def test_losing_an_owner_moves_only_its_lenders(self):
         workspace = self.make_workspace(500)
-        lost = rights.list_owners(workspace, self.MEMBERS)[1]
+        lost = shares.list_owners(workspace, self.MEMBERS)[1]
         rest = [member for member in self.MEMBERS if member != lost]
         new = (
-            set(rights.list_owners(workspace, rest))
-            - set(rights.list_owners(workspace, self.MEMBERS))
+            set(shares.list_owners(workspace, rest))
+            - set(shares.list_owners(workspace, self.MEMBERS))
         ).pop()
         for address in rest:
-            before = rights.find_owner(workspace, address, self.MEMBERS)
-            after = rights.find_owner(workspace, address, rest)
+            before = shares.find_owner(workspace, address, self.MEMBERS)
+            after = shares.find_owner(workspace, address, rest)
             if before != lost:
                 self.assertIn(after, (before, new))
 
@@ -384,7 +389,7 @@
     def test_old_incarnation_gets_nothing(self):
         old = Link(self.lender, incarnation=1)
         Link(self.lender, incarnation=2).exchange(FULL)
-        self.assertEqual(old.ask(FULL), rights.NO_GRANT)
+        self.assertEqual(old.ask(FULL), lending.NO_GRANT)
         old.exchange(FULL)
         self.assertEqual(self.units(FULL, old), frozenset())
 
@@ -423,9 +428,9 @@
         self.link = Link(self.lender)
         self.link.exchange(FULL)
 
-    def set_rights(self, shares, units, now, version='f', in_force_s=0.0):
+    def set_rights(self, own_shares, units, now, version='f', in_force_s=0.0):
         self.lender.set_rights(
-            shares, frozenset(units), now, in_force_s, version
+            own_shares, frozenset(units), now, in_force_s, version
         )
 
     def exchange_until(self, end):
@@ -453,7 +458,7 @@
         self.assertEqual(self.link.take_all(FULL + 2), 4)
 
     def test_larger_share_waits_under_a_new_list(self):
-        at = FULL + 1 + rights.GROWTH_DELAY_S
+        at = FULL + 1 + leases.GROWTH_DELAY_S
         self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 1, 'g')
         self.exchange_until(at)
         self.assertEqual(self.link.take_all(at - 0.1), 6)
@@ -465,9 +470,9 @@
     def test_list_without_a_version_is_a_new_one(self):
         self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 1, None)
         self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 2, None)
-        self.exchange_until(FULL + 1 + rights.GROWTH_DELAY_S)
-        self.link.exchange(FULL + 1 + rights.GROWTH_DELAY_S)
-        self.assertEqual(self.units(FULL + 1 + rights.GROWTH_DELAY_S), {UNIT})
+        self.exchange_until(FULL + 1 + leases.GROWTH_DELAY_S)
+        self.link.exchange(FULL + 1 + leases.GROWTH_DELAY_S)
+        self.assertEqual(self.units(FULL + 1 + leases.GROWTH_DELAY_S), {UNIT})
 
     def test_age_of_a_list_shortens_the_delay(self):
         self.set_rights(self.LARGER, {UNIT, self.OTHER}, FULL + 1, 'g', 9.0)
@@ -477,7 +482,7 @@
         self.assertEqual(self.units(FULL + 2), {UNIT, self.OTHER})
 
     def test_other_changes_do_not_postpone_growth(self):
-        at = FULL + 1 + rights.GROWTH_DELAY_S
+        at = FULL + 1 + leases.GROWTH_DELAY_S
         for second in range(1, 11):
             now = FULL + second
             self.set_rights(self.LARGER, {UNIT}, now, 'g')
@@ -494,16 +499,16 @@
         for second in range(1, 10):
             self.link.exchange(woken + second)
         self.assertEqual(self.units(woken + 9), frozenset())
-        self.link.exchange(woken + rights.GROWTH_DELAY_S)
-        self.assertEqual(self.units(woken + rights.GROWTH_DELAY_S), {UNIT})
+        self.link.exchange(woken + leases.GROWTH_DELAY_S)
+        self.assertEqual(self.units(woken + leases.GROWTH_DELAY_S), {UNIT})
 
     def test_rights_held_back_are_taken_from_their_borrower(self):
         self.lender.hold_back(FULL + 1)
         self.assertTrue(self.link.exchange(FULL + 1))
         self.assertEqual(self.units(FULL + 1), frozenset())
         self.assertEqual(self.link.take_all(FULL + 1), 0)
-        self.exchange_until(FULL + 1 + rights.GROWTH_DELAY_S)
-        at = FULL + 1 + rights.GROWTH_DELAY_S
+        self.exchange_until(FULL + 1 + leases.GROWTH_DELAY_S)
+        at = FULL + 1 + leases.GROWTH_DELAY_S
         self.assertEqual(self.units(at - 0.1), frozenset())
         self.link.exchange(at)
         self.assertEqual(self.units(at), {UNIT})
--- a/tests/test_rights_fleet.py
+++ b/tests/test_rights_fleet.py
@@ -8,9 +8,11 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from lavenderstile import borrowing
+from lavenderstile import leases
+from lavenderstile import lending
 from lavenderstile import messages
 from lavenderstile import rates
-from lavenderstile import rights
 from tests.standins import rights_fleet
 
 EXAMPLES = os.environ.get('LAVENDERSTILE_HYPOTHESIS_EXAMPLES')
@@ -36,8 +38,8 @@
 class FleetMachine(stateful.RuleBasedStateMachine):
     """Random schedules of messages, faults, restarts and use."""
 
-    lender_class = rights.Lender
-    borrower_class = rights.Borrower
+    lender_class = lending.Lender
+    borrower_class = borrowing.Borrower
 
     @stateful.initialize(
         clock_rates=strategies.tuples(*[CLOCK_RATES] * HOST_COUNT)
@@ -171,7 +173,9 @@
             check_all_lent(self.fleet)
 
 
-def start_fleet(lender_class=rights.Lender, borrower_class=rights.Borrower):
+def start_fleet(
+    lender_class=lending.Lender, borrower_class=borrowing.Borrower
+):
     """Return a fleet whose rights are all lent to the owner, host h0.
 
     The owner's clock is the slowest that the lenders allow for.
@@ -489,7 +493,7 @@
 )
 
 
-class NoQuarantineLender(rights.Lender):
+class NoQuarantineLender(lending.Lender):
     """Lends at once after its start."""
 
     def __init__(self, address, now):
@@ -497,7 +501,7 @@
         self._quarantine_until = now
 
 
-class ShortHoldLender(rights.Lender):
+class ShortHoldLender(lending.Lender):
     """Holds for less than the lease lasts."""
 
     def grant(self, request, workspaces, services, now):
@@ -507,17 +511,17 @@
         return grant
 
 
-class NoDriftMarginLender(rights.Lender):
+class NoDriftMarginLender(lending.Lender):
     """Holds for as long as the lease lasts, on its own clock."""
 
     def grant(self, request, workspaces, services, now):
         grant = super().grant(request, workspaces, services, now)
         for lease in self._leases.values():
-            lease.until = min(lease.until, now + rights.LEASE_DURATION_S)
+            lease.until = min(lease.until, now + leases.LEASE_DURATION_S)
         return grant
 
 
-class FullBucketLender(rights.Lender):
+class FullBucketLender(lending.Lender):
     """Starts with a full bucket after a lease has ended."""
 
     def _settle(self, now):
@@ -528,7 +532,7 @@
                 self._rights[key].bucket.put(self._rights[key].share[1])
 
 
-class UnacknowledgedLender(rights.Lender):
+class UnacknowledgedLender(lending.Lender):
     """Lends a right anew without waiting for its last borrower."""
 
     def _update_items(self, lease, workspaces, services, now):
@@ -537,14 +541,14 @@
         self._acknowledge(lease, known, now)
 
 
-class DeafLender(rights.Lender):
+class DeafLender(lending.Lender):
     """Waits for ever for borrowers that go on renewing."""
 
     def _acknowledge(self, lease, request, now):
         pass
 
 
-class TrustingLender(rights.Lender):
+class TrustingLender(lending.Lender):
     """Takes a borrower's new incarnation as proof of its old one's end."""
 
     def _find_lease(self, request):
@@ -556,44 +560,44 @@
         return lease
 
 
-class PromptGrowthLender(rights.Lender):
+class PromptGrowthLender(lending.Lender):
     """Grows when the list has spread, with older leases still out."""
 
     def set_rights(self, shares, units, now, in_force_s, fleet_version):
-        early_s = rights.GROWTH_DELAY_S - rights.SPREAD_LIMIT_S
+        early_s = leases.GROWTH_DELAY_S - leases.SPREAD_LIMIT_S
         super().set_rights(
             shares, units, now, in_force_s + early_s, fleet_version
         )
 
 
-class LeaseDelayLender(rights.Lender):
+class LeaseDelayLender(lending.Lender):
     """Grows when leases have ended, before the next list has spread."""
 
     def set_rights(self, shares, units, now, in_force_s, fleet_version):
-        delay_s = rights.SPREAD_LIMIT_S + rights.LENDER_HOLD_S
-        early_s = rights.GROWTH_DELAY_S - delay_s
+        delay_s = leases.SPREAD_LIMIT_S + leases.LENDER_HOLD_S
+        early_s = leases.GROWTH_DELAY_S - delay_s
         super().set_rights(
             shares, units, now, in_force_s + early_s, fleet_version
         )
 
 
-class UndelayedStartLender(rights.Lender):
+class UndelayedStartLender(lending.Lender):
     """Takes the list that it starts with for one long in force."""
 
     def set_rights(self, shares, units, now, in_force_s, fleet_version):
         if not self._rights:
-            in_force_s = rights.GROWTH_DELAY_S
+            in_force_s = leases.GROWTH_DELAY_S
         super().set_rights(shares, units, now, in_force_s, fleet_version)
 
 
-class UnawareLender(rights.Lender):
+class UnawareLender(lending.Lender):
     """Does not notice that it was paused."""
 
     def hold_back(self, now):
         pass
 
 
-class ReusedLeaseIdLender(rights.Lender):
+class ReusedLeaseIdLender(lending.Lender):
     """Numbers its leases from 1 after each start."""
 
     def __init__(self, address, now):
@@ -601,7 +605,7 @@
         self._last_lease_id = 0
 
 
-class DoubleReturnLender(rights.Lender):
+class DoubleReturnLender(lending.Lender):
     """Takes returned tokens whether or not it waits for them."""
 
     def take_back(self, rights_return, now):
@@ -612,7 +616,7 @@
                 right.come_home(now, item.tokens_micro)
 
 
-class RepeatedTokensBorrower(rights.Borrower):
+class RepeatedTokensBorrower(borrowing.Borrower):
     """Counts a grant's tokens each time that it arrives."""
 
     def accept(self, lender, lender_incarnation, sent_at, grant, now):
@@ -621,7 +625,7 @@
         super().accept(lender, lender_incarnation, sent_at, grant, now)
 
 
-class KeepingBorrower(rights.Borrower):
+class KeepingBorrower(borrowing.Borrower):
     """Keeps the tokens that it returns with a right."""
 
     def _remove_shares(self, lender, holding, keys, now):
@@ -632,14 +636,14 @@
         return returned
 
 
-class ArrivalBorrower(rights.Borrower):
+class ArrivalBorrower(borrowing.Borrower):
     """Counts the lease from the arrival of the grant."""
 
     def accept(self, lender, lender_incarnation, sent_at, grant, now):
         super().accept(lender, lender_incarnation, now, grant, now)
 
 
-class ForgetfulBorrower(rights.Borrower):
+class ForgetfulBorrower(borrowing.Borrower):
     """Forgets a lease's version when the lease has ended."""
 
     def _drop_ended(self, now):
@@ -653,7 +657,7 @@
             del self._holdings[lender]
 
 
-class UncheckedBorrower(rights.Borrower):
+class UncheckedBorrower(borrowing.Borrower):
     """Does not look at the clock before it uses a right."""
 
     def take_token(self, workspace, now):
@@ -675,7 +679,7 @@
         self._level_micro = max(self._level_micro, grown)
 
 
-class KeptLevelBorrower(rights.Borrower):
+class KeptLevelBorrower(borrowing.Borrower):
     """Keeps the tokens of shares that leave a pool."""
 
     def _add_item(self, lender, holding, item, tokens_micro, now):
@@ -684,7 +688,7 @@
             pool.bucket.__class__ = KeptLevelBucket
 
 
-class RestlessBorrower(rights.Borrower):
+class RestlessBorrower(borrowing.Borrower):
     """Goes on borrowing after it has given everything back."""
 
     def make_returns(self, now):
@@ -735,7 +739,7 @@
 
     def test_liveness_check_finds_rights_that_never_come_home(self):
         for lender_class, is_settled in (
-            (rights.Lender, True),
+            (lending.Lender, True),
             (DeafLender, False),
         ):
             fleet = start_fleet(lender_class)
@@ -756,7 +760,7 @@
     def test_oracle_finds_each_weakening(self):
         # A check that passes on weakened code would prove nothing.
         for weakened, scenario in WEAKENED.items():
-            is_lender = issubclass(weakened, rights.Lender)
+            is_lender = issubclass(weakened, lending.Lender)
             role = 'lender_class' if is_lender else 'borrower_class'
             fleet = start_fleet(**{role: weakened})
             with self.assertRaises(
