Pause between reads of a configuration service without values

Cause: a host that watches reads again at once after each answer, but a service without any value cannot be watched, so a single host read it up to 1,000 times a second. Found while writing the tests of the readers.

Before: test_an_empty_service_is_not_read_without_a_pause counted many reads in 0.2 s; after: one. The tests also cover who watches, how reads of a large fleet are spread, and a service that fails.

--- a/lavenderstile/platform_client.py
+++ b/lavenderstile/platform_client.py
@@ -117,13 +117,15 @@
 
     async def run(self):
         """Read until cancelled."""
-        spacing_s = self._spacing()
+        spacing_s = self.spacing_s
         await asyncio.sleep(random.random() * spacing_s)
         while True:
             delay_s = await self._read_once()
-            await asyncio.sleep(max(delay_s, self._spacing()))
+            await asyncio.sleep(max(delay_s, self.spacing_s))
 
-    def _spacing(self):
+    @property
+    def spacing_s(self):
+        """Shortest time between two reads of this host."""
         return max(1, self._fleet_size()) / FLEET_READS_PER_S
 
     async def _read_once(self):
@@ -137,7 +139,8 @@
         self._succeeded_at = self._clock.now()
         await self._deliver_all(reply)
         if self._watches():
-            return 0.0
+            # A service without any value cannot be watched yet.
+            return 0.0 if self._revision else RETRY_DELAY_S
         return self._interval_s * (0.5 + random.random())
 
     def _note_failure(self, error):
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,136 @@
+"""Tests of the readers of the platform."""
+
+import asyncio
+import unittest
+
+import httpx
+
+from emulator import platform
+from lavenderstile import clocks
+from lavenderstile import membership
+from lavenderstile import platform_client
+
+WAIT_LIMIT_S = 30.0
+
+
+def make_view(domain_sizes):
+    """Return the memberships of all hosts of a fleet, by address."""
+    hosts = {
+        f'127.0.{index}.{number}': domain
+        for index, (domain, size) in enumerate(domain_sizes.items())
+        for number in range(size)
+    }
+    views = {}
+    for own, domain in hosts.items():
+        view = membership.Membership(own, domain, 1)
+        for address, other in hosts.items():
+            report = membership.PeerReport(address, f'{address}:1', other, 1)
+            view.record_success(report, 0.0)
+        views[own] = view
+    return views
+
+
+class WatcherTest(unittest.TestCase):
+    """Guards against watches by all hosts, and against none."""
+
+    def count_watchers(self, domain_sizes):
+        """Return the number of watching hosts."""
+        return sum(
+            platform_client.is_watcher(view, view.domain_of(address), 0.0)
+            for address, view in make_view(domain_sizes).items()
+        )
+
+    def test_three_hosts_of_each_domain_watch(self):
+        sizes = {'a': 16, 'b': 16, 'c': 16}
+        self.assertEqual(self.count_watchers(sizes), 9)
+
+    def test_a_small_domain_has_fewer(self):
+        self.assertEqual(self.count_watchers({'a': 16, 'b': 1}), 4)
+
+
+class ReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against changes that are missed, and too many reads."""
+
+    async def asyncSetUp(self):
+        self.delivered = []
+        self.state = platform.PlatformState()
+        client = httpx.AsyncClient(
+            transport=httpx.ASGITransport(
+                platform.PlatformApplication(self.state)
+            ),
+        )
+        self.addAsyncCleanup(client.aclose)
+        self.reader = platform_client.ConfigurationReader(
+            'http://platform',
+            client,
+            clocks.Clock(),
+            lambda: 1,
+            lambda: True,
+            self.deliver,
+        )
+
+    async def deliver(self, text, source):
+        """Record a ticket."""
+        self.delivered.append(text)
+
+    async def wait_for(self, condition):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def start(self):
+        """Run the reader until the test ends."""
+        task = asyncio.create_task(self.reader.run())
+        self.addCleanup(task.cancel)
+
+    async def test_reads_what_is_there_and_watches_for_more(self):
+        await self.state.publish('tickets/1', 'one')
+        await self.start()
+        await self.wait_for(lambda: self.delivered == ['one'])
+        await self.state.publish('tickets/2', 'two')
+        await self.wait_for(lambda: self.delivered == ['one', 'two'])
+
+    async def test_a_failing_service_is_read_again(self):
+        await self.state.set_mode('failing')
+        await self.start()
+        await self.wait_for(lambda: self.reader.calls >= 1)
+        self.assertIsNone(self.reader.succeeded_at)
+        await self.state.publish('tickets/1', 'one')
+        await self.state.set_mode('normal')
+        await self.wait_for(lambda: self.delivered == ['one'])
+
+    async def test_an_empty_service_is_not_read_without_a_pause(self):
+        """It cannot be watched, and the spacing alone is a millisecond."""
+        await self.start()
+        await self.wait_for(lambda: self.reader.succeeded_at is not None)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.reader.calls, 1)
+
+    async def test_a_large_fleet_spreads_its_reads(self):
+        """3,400 hosts that restart at once share 1,000 reads a second."""
+        reader = platform_client.ConfigurationReader(
+            'http://platform', None, None, lambda: 3400, bool, None
+        )
+        self.assertGreaterEqual(
+            reader.spacing_s, 3400 / platform_client.FLEET_READS_PER_S
+        )
+
+
+class HostListTest(unittest.TestCase):
+    """Guards against hosts that are not found by their address."""
+
+    def test_the_address_is_the_key_of_the_endpoint(self):
+        reply = platform_client.HostsReply(
+            [
+                platform_client.HostItem('127.0.0.2:7001', 'live'),
+                platform_client.HostItem('127.0.0.3:7001', 'leaving'),
+            ]
+        )
+        self.assertEqual(
+            platform_client.parse_hosts(reply),
+            {
+                '127.0.0.2': ('127.0.0.2:7001', False),
+                '127.0.0.3': ('127.0.0.3:7001', True),
+            },
+        )
