--- a/lavenderstile/platform_client.py
+++ b/lavenderstile/platform_client.py
@@ -120,7 +120,7 @@
         spacing_s = self.spacing_s
         await asyncio.sleep(random.random() * spacing_s)
         while True:
-            delay_s = await self._read_once()
+            delay_s = await self.read_once()
             await asyncio.sleep(max(delay_s, self.spacing_s))
 
     @property
@@ -128,7 +128,8 @@
         """Shortest time between two reads of this host."""
         return max(1, self._fleet_size()) / FLEET_READS_PER_S
 
-    async def _read_once(self):
+    async def read_once(self):
+        """Read once; return the pause in seconds before the next read."""
         watching = self._watches() and self._revision > 0
         try:
             reply = await self._read(WATCH_WAIT_S if watching else 0.0)
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -102,10 +102,10 @@
 
     async def test_an_empty_service_is_not_read_without_a_pause(self):
         """It cannot be watched, and the spacing alone is a millisecond."""
-        await self.start()
-        await self.wait_for(lambda: self.reader.succeeded_at is not None)
-        await asyncio.sleep(0.2)
-        self.assertEqual(self.reader.calls, 1)
+        pause_s = await self.reader.read_once()
+        self.assertEqual(pause_s, platform_client.RETRY_DELAY_S)
+        await self.state.publish('tickets/1', 'one')
+        self.assertEqual(await self.reader.read_once(), 0.0)
 
     async def test_a_large_fleet_spreads_its_reads(self):
         """3,400 hosts that restart at once share 1,000 reads a second."""
