--- /dev/null
+++ b/lavenderstile/edge/balancing.py
@@ -0,0 +1,173 @@
+"""Choice of the target for a request."""
+
+import dataclasses
+import random
+
+from .. import hashing
+
+# Requests that a target may have waiting beside those in its slots before
+# hosts keep further ones back; targets queue a few.
+QUEUE_PER_SLOT = 1.5
+
+# Sending a request to another failure domain costs bandwidth; expressed as
+# the waiting time that is preferred to it.
+CROSSING_S = 0.25
+CROSSING_S_PER_KB = 0.02
+
+# A new connection costs the target a handshake.
+CONNECTING_S = 0.03
+
+# Hosts that may send to a cold target; each has this part of its rate.
+COLD_OWNERS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chosen:
+    """The target for a request and the wait that is expected there."""
+
+    known: object
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Full:
+    """Every target has as much as it can queue."""
+
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Nowhere:
+    """No target may get the request."""
+
+
+class ColdGate:
+    """Keeps the fleet's rate to a cold target within what it bears.
+
+    Few hosts, found by hashing, may send to a cold target, and each of
+    them spaces its requests, so that their sum is bounded without any
+    message between them.
+    """
+
+    __slots__ = ('_fleet', '_last')
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._last = {}
+
+    def may_send(self, known, rate, now):
+        """Return whether this host may send to a cold target now."""
+        target = known.target
+        hosts = self._list_hosts(target.domain)
+        owners = hashing.rank(target.instance, hosts)[:COLD_OWNERS]
+        if self._fleet.address not in owners:
+            return False
+        spacing_s = COLD_OWNERS / max(rate, 0.1)
+        return now - self._last.get(target.instance, -1e9) >= spacing_s
+
+    def record(self, known, now):
+        """Record that a request goes to a cold target."""
+        if len(self._last) > 1000:
+            self._last.clear()
+        self._last[known.target.instance] = now
+
+    def _list_hosts(self, domain):
+        if domain == self._fleet.domain:
+            return self._fleet.members
+        return self._fleet.contacts.get(domain) or [self._fleet.address]
+
+
+class Balancer:
+    """Chooses the target with the shortest expected time."""
+
+    __slots__ = (
+        '_cold_gate',
+        '_directory',
+        '_fleet',
+        '_health',
+        '_own_running',
+        '_random',
+    )
+
+    def __init__(self, directory, fleet, health, rng=None):
+        self._directory = directory
+        self._fleet = fleet
+        self._health = health
+        self._own_running = {}
+        self._cold_gate = ColdGate(fleet)
+        self._random = rng or random.Random()
+
+    @property
+    def own_running(self):
+        """Unanswered requests of this host, by instance."""
+        return self._own_running
+
+    def begin(self, known, now):
+        """Count a request that goes to a target."""
+        instance = known.target.instance
+        self._own_running[instance] = self._own_running.get(instance, 0) + 1
+        if known.cold_until > now:
+            self._cold_gate.record(known, now)
+
+    def end(self, known):
+        """Count the end of a request."""
+        instance = known.target.instance
+        left = self._own_running.get(instance, 0) - 1
+        if left > 0:
+            self._own_running[instance] = left
+        else:
+            self._own_running.pop(instance, None)
+
+    def get_running(self, instance):
+        """Return the requests of the domain's hosts on a target."""
+        own = self._own_running.get(instance, 0)
+        return own + self._fleet.get_running(instance)
+
+    def choose(self, service, now, kilobytes, excluded, has_connection):
+        """Return `Chosen`, `Full` or `Nowhere` for a request.
+
+        `excluded` are instances that have had the request.
+        `has_connection(instance)` tells where no handshake is needed.
+        """
+        best = None
+        best_score = None
+        fullest_s = None
+        cold_rate = self._get_cold_rate(service)
+        for known in self._directory.list_targets(service):
+            target = known.target
+            instance = target.instance
+            if instance in excluded:
+                continue
+            if known.cold_until > now and not self._cold_gate.may_send(
+                known, cold_rate, now
+            ):
+                continue
+            running = self.get_running(instance)
+            work_s = self._health.estimate_latency(instance, service, now)
+            waiting = running + 1 - target.slots
+            wait_s = max(0, waiting) * work_s / target.slots
+            if waiting > QUEUE_PER_SLOT * target.slots:
+                fullest_s = min(fullest_s or wait_s, wait_s)
+                continue
+            score = (
+                wait_s
+                + work_s
+                + running / target.slots * 0.1 * work_s
+                + self._health.get_penalty(instance, now)
+                + self._random.random() * 0.01
+            )
+            if target.domain != self._fleet.domain:
+                score += CROSSING_S + kilobytes * CROSSING_S_PER_KB
+            if not has_connection(instance):
+                score += CONNECTING_S
+            if best is None or score < best_score:
+                best = Chosen(known, wait_s)
+                best_score = score
+        if best is not None:
+            return best
+        return Nowhere() if fullest_s is None else Full(fullest_s)
+
+    def _get_cold_rate(self, service):
+        configuration = self._directory.configuration
+        found = configuration and configuration.services.get(service)
+        return found.cold_rate if found else 1.0
--- /dev/null
+++ b/lavenderstile/edge/callers.py
@@ -0,0 +1,383 @@
+"""Connections of callers: reading requests, writing answers."""
+
+import asyncio
+import socket
+
+import h11
+
+from . import models
+
+# A caller that does not acknowledge bytes for this long is gone.
+UNACKNOWLEDGED_LIMIT_MS = 8000
+
+# After a refusal whose request was not read whole, the rest is read for this
+# long, because closing with unread bytes would reset the connection before
+# the caller reads the refusal.
+LINGER_S = 1.0
+
+# Bodies of all requests together.
+MAX_BUFFERED_BYTES = 96 * 1024 * 1024
+
+_PHRASES = {
+    400: b'Bad Request',
+    401: b'Unauthorized',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+
+class CallerRequest:
+    """A request of a caller, read whole."""
+
+    __slots__ = ('arrived_at', 'body', 'headers', 'host', 'method', 'path')
+
+    def __init__(self, method, host, path, headers, arrived_at):
+        self.method = method
+        self.host = host
+        self.path = path
+        self.headers = headers
+        self.body = b''
+        self.arrived_at = arrived_at
+
+
+class CallerAnswer:
+    """What goes back to a caller; `headers` are pairs of bytes."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(self, status, headers=(), body=b''):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class RequestFaulty(Exception):
+    """A request cannot be taken."""
+
+    def __init__(self, status, detail):
+        super().__init__(detail)
+        self.status = status
+
+
+def _split_target(target, host):
+    """Return host and path of a request target in any of its forms."""
+    if target.startswith('/'):
+        return host, target
+    scheme, found, rest = target.partition('://')
+    if found and scheme.lower() == 'http':
+        authority, slash, path = rest.partition('/')
+        return authority, slash + path if slash else '/'
+    raise RequestFaulty(400, 'request target has no path')
+
+
+def _strip_port(host):
+    name = host.lower()
+    if name.endswith(']'):
+        return name
+    head, colon, port = name.rpartition(':')
+    return head if colon and port.isdigit() else name
+
+
+def read_head(event, now):
+    """Return the `CallerRequest` of an h11 request event."""
+    headers = list(event.headers)
+    names = [name for name, _ in headers]
+    if b'transfer-encoding' in names and b'content-length' in names:
+        raise RequestFaulty(400, 'both Content-Length and Transfer-Encoding')
+    hosts = [value for name, value in headers if name == b'host']
+    host = hosts[0].decode('latin-1') if hosts else ''
+    target = event.target.decode('latin-1')
+    host, path = _split_target(target, host)
+    method = event.method.decode('latin-1')
+    return CallerRequest(method, _strip_port(host), path, headers, now)
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller; its requests run one after the other."""
+
+    __slots__ = (
+        '_body',
+        '_is_faulty',
+        '_linger_until',
+        '_parser',
+        '_request',
+        '_server',
+        '_size',
+        '_task',
+        '_transport',
+        'began_at',
+        'idle_since',
+    )
+
+    def __init__(self, server):
+        self._server = server
+        self._transport = None
+        self._parser = None
+        self._request = None
+        self._task = None
+        self._body = []
+        self._size = 0
+        self._is_faulty = False
+        self._linger_until = None
+        self.began_at = None
+        self.idle_since = None
+
+    @property
+    def is_idle(self):
+        """Whether no request has begun to arrive."""
+        return self.began_at is None and self._task is None
+
+    def connection_made(self, transport):
+        """Start reading."""
+        self._transport = transport
+        raw = transport.get_extra_info('socket')
+        raw.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_LIMIT_MS,
+        )
+        limits = self._server.limits
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self.idle_since = self._server.now()
+        self._server.add(self)
+
+    def connection_lost(self, error):
+        """Cancel what runs for a caller that has left."""
+        self._server.discard(self)
+        self._server.buffered -= self._size
+        self._size = 0
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data):
+        """Take bytes of the caller."""
+        if self._is_faulty:
+            return
+        if self.began_at is None:
+            self.began_at = self._server.now()
+        self._parser.receive_data(data)
+        if self._task is None:
+            self._advance()
+
+    def eof_received(self):
+        """A caller that ends its side has left."""
+        return False
+
+    def _advance(self):
+        try:
+            while self._take_event(self._parser.next_event()):
+                pass
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint, str(error))
+        except RequestFaulty as error:
+            self._refuse(error.status, str(error))
+
+    def _take_event(self, event):
+        match event:
+            case h11.Request():
+                self._request = read_head(event, self._server.now())
+                if self._parser.they_are_waiting_for_100_continue:
+                    self._send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+            case h11.Data():
+                self._take_body(bytes(event.data))
+            case h11.EndOfMessage():
+                self._request.body = b''.join(self._body)
+                self._body = []
+                loop = asyncio.get_running_loop()
+                self._task = loop.create_task(self._run(self._request))
+                return False
+            case h11.ConnectionClosed():
+                self._transport.close()
+                return False
+            case _:
+                return False
+        return True
+
+    def _take_body(self, data):
+        self._body.append(data)
+        self._size += len(data)
+        self._server.buffered += len(data)
+        if self._size > self._server.limits.body_bytes:
+            raise RequestFaulty(413, 'body is too large')
+        if self._server.buffered > MAX_BUFFERED_BYTES:
+            raise RequestFaulty(503, 'host has no room for the body')
+
+    async def _run(self, request):
+        try:
+            answer = await self._server.handle(request)
+        except asyncio.CancelledError:
+            return
+        self._write(answer, request)
+
+    def _write(self, answer, request):
+        self._server.buffered -= self._size
+        self._size = 0
+        headers = list(answer.headers)
+        if self._server.is_stopping:
+            headers.append((b'connection', b'close'))
+        if request.method == 'HEAD' or answer.status in (204, 304):
+            body = b''
+        else:
+            body = answer.body
+            headers.append((b'content-length', str(len(body)).encode()))
+        self._send(
+            h11.Response(
+                status_code=answer.status,
+                reason=_PHRASES.get(answer.status, b''),
+                headers=headers,
+            ),
+            body,
+            h11.EndOfMessage(),
+        )
+        self._task = None
+        self._request = None
+        self.began_at = None
+        self.idle_since = self._server.now()
+        if self._parser.our_state is not h11.DONE or (
+            self._parser.their_state is not h11.DONE
+        ):
+            self._transport.close()
+            return
+        self._parser.start_next_cycle()
+        if self._parser.trailing_data[0]:
+            self.began_at = self.idle_since
+        self._advance()
+
+    def _send(self, *events):
+        data = []
+        for event in events:
+            if isinstance(event, bytes):
+                if not event:
+                    continue
+                event = h11.Data(data=event)
+            data.append(self._parser.send(event))
+        self._transport.writelines(data)
+
+    def _refuse(self, status, detail):
+        """Answer a request that is not read whole, and close."""
+        self._is_faulty = True
+        self._server.record_fault(status, detail)
+        answer = self._server.make_refusal(status, detail)
+        headers = [
+            *answer.headers,
+            (b'content-length', str(len(answer.body)).encode()),
+            (b'connection', b'close'),
+        ]
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._send(
+                h11.Response(
+                    status_code=status,
+                    reason=_PHRASES.get(status, b''),
+                    headers=headers,
+                ),
+                answer.body,
+                h11.EndOfMessage(),
+            )
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._linger_until = self._server.now() + LINGER_S
+
+    def check(self, now, limits):
+        """Apply the caller's time limits."""
+        if self._linger_until is not None:
+            if now >= self._linger_until:
+                self._transport.abort()
+        elif self._task is not None:
+            return
+        elif self.began_at is not None:
+            limit_s = limits.header_timeout_s
+            if self._request is not None:
+                limit_s = self._server.get_body_limit(self._request)
+            if now - self.began_at > limit_s:
+                self._refuse(408, 'request did not arrive in time')
+        elif now - self.idle_since > limits.idle_timeout_s:
+            self._transport.close()
+
+    def close_if_idle(self):
+        """Close a connection that carries no request."""
+        if self.is_idle:
+            self._transport.close()
+
+
+class CallerServer:
+    """The listener for callers and its connections."""
+
+    def __init__(self, clock, handler):
+        self._clock = clock
+        self._handler = handler
+        self._connections = set()
+        self._server = None
+        self.limits = models.CallerLimits()
+        self.buffered = 0
+        self.is_stopping = False
+
+    @property
+    def active(self):
+        """Number of connections with a request."""
+        return sum(not each.is_idle for each in self._connections)
+
+    @property
+    def open_count(self):
+        """Number of open connections."""
+        return len(self._connections)
+
+    def now(self):
+        """Return the clock's time."""
+        return self._clock.now()
+
+    def add(self, connection):
+        """Count a new connection."""
+        self._connections.add(connection)
+
+    def discard(self, connection):
+        """Forget a connection that has ended."""
+        self._connections.discard(connection)
+
+    async def start(self, address, port):
+        """Listen for callers."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self), address, port, backlog=1024
+        )
+
+    async def handle(self, request):
+        """Return the answer to a request."""
+        return await self._handler.handle(request)
+
+    def make_refusal(self, status, detail):
+        """Return the answer to a request that cannot be taken."""
+        return self._handler.make_refusal(status, detail)
+
+    def record_fault(self, status, detail):
+        """Note a request that cannot be taken."""
+        self._handler.record_fault(status, detail)
+
+    def get_body_limit(self, request):
+        """Return how long a request may take to arrive, in seconds."""
+        return self._handler.get_body_limit(request)
+
+    def sweep(self):
+        """Apply the time limits to all connections."""
+        now = self._clock.now()
+        for connection in list(self._connections):
+            connection.check(now, self.limits)
+
+    def stop_listening(self):
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self):
+        """Close the connections that carry no request."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
--- /dev/null
+++ b/lavenderstile/edge/host.py
@@ -0,0 +1,309 @@
+"""One host: its parts, its listeners, its start and its stop."""
+
+import asyncio
+import contextlib
+import signal
+
+import eliot
+import msgspec
+
+from .. import clocks
+from . import allowances as allowances_module
+from . import balancing
+from . import budgets as budgets_module
+from . import callers
+from . import crash_guard
+from . import directory as directory_module
+from . import fleet as fleet_module
+from . import handler as handler_module
+from . import health as health_module
+from . import log_writer
+from . import mesh as mesh_module
+from . import metrics as metrics_module
+from . import registry
+from . import target_pools
+
+# The balancer before the hosts sends new connections until it has asked for
+# readiness twice, once a second.
+BALANCER_LAG_S = 3.0
+
+# Time left at the end of a stop for the process to end by itself.
+STOP_MARGIN_S = 0.4
+
+SWEEP_INTERVAL_S = 0.5
+SETTINGS_INTERVAL_S = 2.0
+STOP_POLL_S = 0.05
+
+
+class Budgets:
+    """The retry budgets of a host by service."""
+
+    __slots__ = ('_budgets', '_clock', '_limits')
+
+    def __init__(self, clock, limits):
+        self._clock = clock
+        self._limits = limits
+        self._budgets = {}
+
+    def get(self, service):
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = budgets_module.RetryBudget(
+                self._limits.retry_ratio,
+                self._limits.retry_slack,
+                self._limits.retry_window_s,
+                self._clock.now(),
+            )
+        return budget
+
+
+class Parts:
+    """What the tasks of a host share."""
+
+    __slots__ = (
+        'allowances',
+        'balancer',
+        'budgets',
+        'clock',
+        'dialect',
+        'directory',
+        'fleet',
+        'guard',
+        'health',
+        'metrics',
+        'pools',
+        'reports',
+    )
+
+    def __init__(self, settings, dialect, clock, started_ms):
+        self.clock = clock
+        self.dialect = dialect
+        self.metrics = metrics_module.EdgeMetrics()
+        self.directory = directory_module.Directory()
+        self.fleet = fleet_module.Fleet(
+            settings.address, settings.domain, started_ms
+        )
+        self.allowances = allowances_module.Allowances()
+        self.health = health_module.HealthBook()
+        self.balancer = balancing.Balancer(
+            self.directory, self.fleet, self.health
+        )
+        self.budgets = Budgets(clock, settings.limits)
+        self.pools = target_pools.TargetPools(clock)
+        self.guard = crash_guard.CrashGuard()
+        self.reports = mesh_module.Reports()
+
+
+class StatusHandler:
+    """Answers on the listeners for readiness and for operators."""
+
+    def __init__(self, host):
+        self._host = host
+
+    async def handle(self, request):
+        """Return readiness, metrics or the state of the process."""
+        match request.path.partition('?')[0]:
+            case '/metrics':
+                body, headers = self._host.parts.metrics.render()
+                kind = headers.get('Content-Type', 'text/plain').encode()
+                return callers.CallerAnswer(
+                    200, [(b'content-type', kind)], body
+                )
+            case '/state':
+                body = msgspec.json.encode(self._host.describe())
+                kind = b'application/json'
+                return callers.CallerAnswer(
+                    200, [(b'content-type', kind)], body
+                )
+        fault = self._host.find_unready_reason()
+        if fault is None:
+            return callers.CallerAnswer(200, (), b'ready\n')
+        return callers.CallerAnswer(503, (), fault.encode() + b'\n')
+
+    def make_refusal(self, status, detail):
+        """Return the answer to a request that cannot be read."""
+        return callers.CallerAnswer(status, (), detail.encode())
+
+    def record_fault(self, status, detail):
+        """Log a request that cannot be read."""
+        eliot.log_message('status_unreadable', status=status, detail=detail)
+
+    def get_body_limit(self, request):
+        """Return how long a request may take in seconds."""
+        return 1.0
+
+
+class Host:
+    """A running host; `load_settings` returns the present settings."""
+
+    def __init__(self, load_settings, dialect, make_client):
+        self._load_settings = load_settings
+        self._settings = load_settings()
+        self._clock = clocks.Clock()
+        started_ms = int(self._clock.unix() * 1000)
+        self.parts = Parts(self._settings, dialect, self._clock, started_ms)
+        self._log = log_writer.LogWriter(self._settings.name, self._clock)
+        self._mesh = mesh_module.Mesh(self.parts, self._settings, started_ms)
+        self._follower = registry.RegistryFollower(
+            make_client(self._settings, self._clock),
+            self.parts.directory,
+            self._clock,
+            self.parts.metrics,
+            self._take_directory,
+        )
+        handler = handler_module.RequestHandler(self.parts)
+        self._callers = callers.CallerServer(self._clock, handler)
+        self._version = None
+        self._targets = frozenset()
+        self._stopping = asyncio.Event()
+
+    def find_unready_reason(self):
+        """Return why the host takes no new connections, or None."""
+        if self._stopping.is_set():
+            return 'stopping'
+        if not self._follower.is_synchronized:
+            return 'the registry was not read yet'
+        if self.parts.directory.configuration is None:
+            return 'no configuration yet'
+        return None
+
+    def describe(self):
+        """Return the state of the process for operators."""
+        parts = self.parts
+        now = self._clock.now()
+        return {
+            'unready': self.find_unready_reason(),
+            'version': self._version,
+            'revision': parts.directory.revision,
+            'registry_lost_for_s': self._get_lost_time(now),
+            'evacuated': sorted(parts.directory.evacuated),
+            'hosts_heard': parts.fleet.count_heard(now),
+            'hosts_of_domain': sorted(parts.fleet.members),
+            'connections': self._callers.open_count,
+            'targets': {
+                instance: {
+                    'service': known.target.service,
+                    'domain': known.target.domain,
+                    'running': parts.balancer.get_running(instance),
+                    'avoided': parts.health.is_blocked(instance, now),
+                    'draining': known.target.is_draining,
+                    'cold_s': max(0.0, known.cold_until - now),
+                }
+                for instance, known in parts.directory.targets.items()
+            },
+        }
+
+    def _get_lost_time(self, now):
+        since = self._follower.failing_since
+        return None if since is None else round(now - since, 2)
+
+    def _take_directory(self):
+        """Apply what follows from a change of the directory."""
+        directory = self.parts.directory
+        configuration = directory.configuration
+        if configuration and configuration.version != self._version:
+            self._version = configuration.version
+            self._callers.limits = configuration.limits
+            self.parts.allowances.configure(
+                configuration.workspaces.values(), self._clock.now()
+            )
+            eliot.log_message(
+                'configuration_in_force',
+                version=configuration.version,
+                revision=directory.revision,
+            )
+        targets = frozenset(directory.targets)
+        if targets != self._targets:
+            eliot.log_message(
+                'targets_changed',
+                revision=directory.revision,
+                added=sorted(targets - self._targets)[:8],
+                removed=sorted(self._targets - targets)[:8],
+                count=len(targets),
+            )
+            self._targets = targets
+            self.parts.health.keep(targets)
+
+    async def run(self):
+        """Serve until a signal to stop, then finish what runs."""
+        self._log.start()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        eliot.log_message('start', address=self._settings.address)
+        status = callers.CallerServer(self._clock, StatusHandler(self))
+        await status.start(*self._settings.ready_listen)
+        if self._settings.admin_listen is not None:
+            await status.start(*self._settings.admin_listen)
+        await self._mesh.start()
+        await self._callers.start(*self._settings.caller_listen)
+        jobs = (
+            self._mesh.run(),
+            self._follower.run(),
+            self._log.run(),
+            self._sweep(status),
+            self._watch_settings(),
+        )
+        async with _running(jobs):
+            await self._stopping.wait()
+            await self._stop()
+        eliot.log_message('stop', connections=self._callers.open_count)
+        self._log.flush()
+
+    async def _sweep(self, status):
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._callers.sweep()
+            status.sweep()
+            directory = self.parts.directory
+            directory.expire(self._clock.now())
+            self.parts.pools.sweep(directory.targets)
+
+    async def _watch_settings(self):
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL_S)
+            self._reload()
+
+    def _reload(self):
+        try:
+            settings = self._load_settings()
+        except Exception as error:
+            eliot.log_message('settings_kept', error=str(error))
+            return
+        if settings != self._settings:
+            eliot.log_message('settings_reloaded', seeds=settings.seeds)
+            self._settings = settings
+            self._mesh.take_settings(settings)
+
+    async def _stop(self):
+        """Finish the requests that run, and take those that still come.
+
+        Callers are sent here until the balancer has noticed; answers tell
+        them to use another connection.
+        """
+        began = self._clock.now()
+        eliot.log_message('stopping', connections=self._callers.open_count)
+        self._callers.is_stopping = True
+        last = began + self._settings.stop_s - STOP_MARGIN_S
+        quiet = min(began + BALANCER_LAG_S, last)
+        while self._clock.now() < quiet:
+            await asyncio.sleep(STOP_POLL_S)
+        self._callers.stop_listening()
+        while self._clock.now() < last:
+            self._callers.close_idle()
+            if not self._callers.open_count:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        self._mesh.leave()
+
+
+@contextlib.asynccontextmanager
+async def _running(coroutines):
+    """Run jobs while the block runs; a job that fails ends the block."""
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(each) for each in coroutines]
+        yield
+        for task in tasks:
+            task.cancel()
--- /dev/null
+++ b/lavenderstile/edge/mesh.py
@@ -0,0 +1,346 @@
+"""Datagrams between hosts: membership, load, outcomes and use.
+
+Hosts of a failure domain tell each other about each request at once, which
+costs little there. Between domains, where bytes are dear, only the lowest
+live host of a domain sends totals to a few hosts of each other domain, and
+these pass them on.
+"""
+
+import asyncio
+import random
+
+import eliot
+import msgspec
+
+from . import health as health_module
+from . import messages
+
+# Shortest time between two updates to the domain.
+UPDATE_INTERVAL_S = 0.012
+
+HEARTBEAT_S = 0.5
+DIGEST_INTERVAL_S = 0.5
+
+# Hosts of each other domain that get a digest; two, so that one of them may
+# be dead without being known to be.
+DIGEST_RECEIVERS = 2
+
+# Time between two greetings of seeds and of known hosts that are silent.
+GREETING_S = 0.5
+LATE_GREETING_S = 4.0
+GREETED = 6
+
+# Hosts of other domains that a welcome names.
+WELCOME_CONTACTS = 4
+
+
+class Reports:
+    """What this host has to tell the others."""
+
+    __slots__ = ('faults', 'latencies', 'successes', 'touch')
+
+    def __init__(self):
+        self.faults = []
+        self.successes = []
+        self.latencies = {}
+        self.touch = _ignore
+
+    def add_fault(self, instance, kind):
+        """Tell that a target failed a request."""
+        self.faults.append(messages.Fault(instance, kind.value))
+        self.touch()
+
+    def add_success(self, instance):
+        """Tell that a target in doubt answered."""
+        self.successes.append(instance)
+
+    def add_latency(self, instance, service, latency_s):
+        """Tell how long a target took."""
+        self.latencies[instance] = (service, round(latency_s, 3))
+
+    def take(self):
+        """Return and forget everything."""
+        taken = self.faults, self.successes, self.latencies
+        self.faults, self.successes, self.latencies = [], [], {}
+        return taken
+
+
+def _ignore():
+    """Stand in until the mesh runs."""
+
+
+class Mesh(asyncio.DatagramProtocol):
+    """The task that owns the datagram socket."""
+
+    def __init__(self, parts, settings, started_ms):
+        self._clock = parts.clock
+        self._fleet = parts.fleet
+        self._allowances = parts.allowances
+        self._balancer = parts.balancer
+        self._health = parts.health
+        self._guard = parts.guard
+        self._reports = parts.reports
+        self._metrics = parts.metrics
+        self._settings = settings
+        self._started_ms = started_ms
+        self._transport = None
+        self._timer = None
+        self._sent_at = 0.0
+        self._totals = {}
+        self._crashes = []
+        self._is_leaving = False
+        self._digest_hosts = {}
+
+    async def start(self):
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(self._settings.address, self._settings.peer_port),
+        )
+        self._reports.touch = self._plan_update
+
+    def connection_made(self, transport):
+        """Keep the socket."""
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        """Take a message of another host."""
+        try:
+            message = messages.unpack(data)
+        except msgspec.MsgspecError as error:
+            eliot.log_message(
+                'datagram_unreadable', sender=addr[0], error=str(error)
+            )
+            return
+        now = self._clock.now()
+        match message:
+            case messages.Hello():
+                self._take_hello(message, addr[0])
+            case messages.Welcome():
+                self._take_welcome(message)
+            case messages.Update():
+                self._take_update(message, now)
+            case messages.Digest():
+                self._take_digest(message, data, addr[0], now)
+
+    def error_received(self, error):
+        """A datagram was not delivered; hosts come and go."""
+        self._metrics.count_datagram_error()
+
+    def _send(self, address, data):
+        self._transport.sendto(data, (address, self._settings.peer_port))
+
+    async def run(self):
+        """Send heartbeats, digests and greetings until cancelled."""
+        greeted_at = digested_at = 0.0
+        while True:
+            now = self._clock.now()
+            self._expire(now)
+            if now - self._sent_at >= HEARTBEAT_S:
+                self._send_update()
+            if now - digested_at >= DIGEST_INTERVAL_S:
+                digested_at = now
+                self._send_digests(now)
+            if now - greeted_at >= self._get_greeting_interval():
+                greeted_at = now
+                self._greet()
+            await asyncio.sleep(HEARTBEAT_S * (0.45 + random.random() * 0.1))
+
+    def _get_greeting_interval(self):
+        return LATE_GREETING_S if self._fleet.peers else GREETING_S
+
+    def _expire(self, now):
+        for address in self._fleet.expire(now):
+            eliot.log_message(
+                'host_silent', host=address, left=len(self._fleet.peers)
+            )
+        heard = self._fleet.count_heard(now)
+        self._allowances.set_share(heard, self._fleet.get_size(now))
+
+    def _greet(self):
+        hello = messages.pack(
+            messages.Hello(
+                self._fleet.address, self._fleet.domain, self._started_ms
+            )
+        )
+        silent = [
+            address
+            for address in self._fleet.contacts.get(self._fleet.domain, ())
+            if address not in self._fleet.peers
+        ]
+        random.shuffle(silent)
+        seeds = [seed for seed in self._settings.seeds if self._is_other(seed)]
+        for address in {*seeds, *silent[:GREETED]}:
+            self._send(address, hello)
+
+    def _is_other(self, address):
+        return address != self._fleet.address
+
+    def _take_hello(self, hello, sender):
+        if not self._is_other(sender):
+            return
+        contacts = self._fleet.contacts
+        hosts = {
+            domain: addresses
+            if domain == hello.domain
+            else addresses[-WELCOME_CONTACTS:]
+            for domain, addresses in contacts.items()
+        }
+        own = hosts.get(self._fleet.domain, [])
+        hosts[self._fleet.domain] = [self._fleet.address, *own]
+        welcome = messages.Welcome(
+            self._fleet.address, self._fleet.domain, self._started_ms, hosts
+        )
+        self._send(sender, messages.pack(welcome))
+        self._fleet.learn_contacts({hello.domain: [hello.address]})
+        if hello.domain == self._fleet.domain:
+            self._send(sender, messages.pack(self._make_update()))
+
+    def _take_welcome(self, welcome):
+        before = set(self._fleet.contacts.get(self._fleet.domain, ()))
+        self._fleet.learn_contacts(welcome.hosts)
+        after = set(self._fleet.contacts.get(self._fleet.domain, ()))
+        hello = messages.pack(
+            messages.Hello(
+                self._fleet.address, self._fleet.domain, self._started_ms
+            )
+        )
+        for address in after - before:
+            if address not in self._fleet.peers:
+                self._send(address, hello)
+
+    def _take_update(self, update, now):
+        if update.address == self._fleet.address:
+            return
+        is_new = update.address not in self._fleet.peers
+        added = self._fleet.take_update(update, now)
+        if is_new and not update.is_leaving:
+            eliot.log_message(
+                'host_heard', host=update.address, known=len(self._fleet.peers)
+            )
+            self._send(update.address, messages.pack(self._make_update()))
+        self._allowances.record(added, now)
+        self._add_totals(added)
+        for instance, (service, latency_s) in update.latencies.items():
+            self._health.record_latency(instance, service, latency_s, now)
+        for instance in update.successes:
+            self._health.record_success(instance, now)
+        for fault in update.faults:
+            self._take_fault(fault, update.address, now)
+        for crash in update.crashes:
+            self._guard.record(crash.digest, crash.instance, now, False)
+            self._crashes.append(crash)
+
+    def _take_fault(self, fault, sender, now):
+        try:
+            kind = health_module.FaultKind(fault.kind)
+        except ValueError:
+            eliot.log_message('fault_unknown', kind=fault.kind, sender=sender)
+            return
+        block_s = self._health.record_fault(fault.instance, kind, now)
+        if block_s:
+            eliot.log_message(
+                'target_avoided',
+                target=fault.instance,
+                fault=fault.kind,
+                block_s=block_s,
+                source=sender,
+            )
+
+    def _take_digest(self, digest, data, sender, now):
+        if digest.domain == self._fleet.domain:
+            return
+        added = self._fleet.take_digest(digest, now)
+        self._digest_hosts[digest.domain] = digest.hosts
+        self._allowances.record(added, now)
+        for crash in digest.crashes:
+            self._guard.record(crash.digest, crash.instance, now, False)
+        if sender not in self._fleet.peers:
+            for address in self._fleet.peers:
+                self._send(address, data)
+
+    def _add_totals(self, added):
+        for workspace, count in added.items():
+            total = self._totals.get(workspace, 0)
+            self._totals[workspace] = total + count
+
+    def _plan_update(self):
+        if self._timer is not None or self._transport is None:
+            return
+        due_s = self._sent_at + UPDATE_INTERVAL_S - self._clock.now()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(0.0, due_s), self._send_update)
+
+    def _make_update(self, news=((), (), {}), crashes=()):
+        faults, successes, latencies = news
+        return messages.Update(
+            self._fleet.address,
+            self._fleet.domain,
+            self._started_ms,
+            dict(self._balancer.own_running),
+            list(faults),
+            list(successes),
+            list(crashes),
+            self._allowances.admitted,
+            latencies,
+            self._is_leaving,
+        )
+
+    def _send_update(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._sent_at = self._clock.now()
+        crashes = [messages.Crash(*news) for news in self._guard.take_news()]
+        self._crashes.extend(crashes)
+        update = self._make_update(self._reports.take(), crashes)
+        data = messages.pack(update)
+        for address in self._fleet.peers:
+            self._send(address, data)
+
+    def _send_digests(self, now):
+        if self._fleet.primary != self._fleet.address:
+            self._crashes.clear()
+            return
+        totals = dict(self._totals)
+        for workspace, count in self._allowances.admitted.items():
+            totals[workspace] = totals.get(workspace, 0) + count
+        members = sorted(self._fleet.members)
+        data = messages.pack(
+            messages.Digest(
+                self._fleet.address,
+                self._fleet.domain,
+                self._started_ms,
+                len(members),
+                members[: DIGEST_RECEIVERS + 1],
+                totals,
+                self._crashes,
+            )
+        )
+        self._crashes = []
+        for domain in self._fleet.contacts:
+            if domain != self._fleet.domain:
+                for address in self._find_receivers(domain, now):
+                    self._send(address, data)
+
+    def _find_receivers(self, domain, now):
+        known = self._fleet.domains.get(domain)
+        if known is not None and now - known.heard_at < 3 * DIGEST_INTERVAL_S:
+            return known.contacts[:DIGEST_RECEIVERS]
+        contacts = self._fleet.contacts[domain]
+        return random.sample(contacts, min(len(contacts), DIGEST_RECEIVERS))
+
+    def take_settings(self, settings):
+        """Use the seeds of changed settings."""
+        self._settings = settings
+
+    def leave(self):
+        """Tell the domain that this host stops."""
+        self._is_leaving = True
+        self._send_update()
+
+    def close(self):
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/lavenderstile/edge/messages.py
@@ -0,0 +1,89 @@
+"""Datagrams between the hosts of a fleet, as MessagePack."""
+
+import msgspec
+
+# Loopback and Ethernet links carry this much; larger states are split.
+MAX_DATAGRAM_BYTES = 60_000
+
+
+class Hello(msgspec.Struct, tag='h', array_like=True):
+    """A host announces itself; the receiver answers with a `Welcome`."""
+
+    address: str
+    domain: str
+    started_ms: int
+
+
+class Welcome(msgspec.Struct, tag='w', array_like=True):
+    """Hosts that the sender knows, by failure domain."""
+
+    address: str
+    domain: str
+    started_ms: int
+    hosts: dict[str, list[str]]
+
+
+class Fault(msgspec.Struct, array_like=True):
+    """A target failed a request."""
+
+    instance: str
+    kind: str
+
+
+class Crash(msgspec.Struct, array_like=True):
+    """A target ended while it ran a request with this digest."""
+
+    digest: str
+    instance: str
+
+
+class Update(msgspec.Struct, tag='u', array_like=True):
+    """What a host runs and has seen, for the hosts of its domain.
+
+    `running` has the requests that this host has sent to each target and
+    that are not answered; a target that is missing has none of them.
+    `admitted` are counts by workspace since the start of the process.
+
+    """
+
+    address: str
+    domain: str
+    started_ms: int
+    running: dict[str, int]
+    faults: list[Fault]
+    successes: list[str]
+    crashes: list[Crash]
+    admitted: dict[str, int]
+    latencies: dict[str, tuple[str, float]]
+    is_leaving: bool = False
+
+
+class Digest(msgspec.Struct, tag='d', array_like=True):
+    """What a failure domain tells the others.
+
+    `origin` is the host that counts for its domain; `admitted` are its
+    domain's counts by workspace since `started_ms`. `hosts` are some of
+    the domain's hosts, `size` is how many it has.
+    """
+
+    origin: str
+    domain: str
+    started_ms: int
+    size: int
+    hosts: list[str]
+    admitted: dict[str, int]
+    crashes: list[Crash]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Hello | Welcome | Update | Digest)
+
+
+def pack(message):
+    """Return a message as bytes."""
+    return _ENCODER.encode(message)
+
+
+def unpack(data):
+    """Return the message in a datagram; raises `msgspec.MsgspecError`."""
+    return _DECODER.decode(data)
--- /dev/null
+++ b/lavenderstile/edge/registry.py
@@ -0,0 +1,112 @@
+"""Task that follows the registry of targets and configurations."""
+
+import asyncio
+import random
+
+import eliot
+
+from .. import errors
+
+# A watch that waits longer would notice a lost answer too late: what changes
+# has to be in force two seconds after a stable registry took it.
+WATCH_WAIT_S = 2.0
+
+# Pause between two watches, so that changes in a row cost one call.
+WATCH_PAUSE_S = 0.35
+
+# Pauses after a failed call; they double up to the longest.
+RETRY_S = 0.25
+MAX_RETRY_S = 1.0
+
+# A registry that was away for longer may have let entries lapse.
+OUTAGE_S = 1.5
+
+
+class HistoryLost(Exception):
+    """The registry no longer has the changes after a revision."""
+
+
+class RegistryFollower:
+    """Keeps a directory up to date; reads only.
+
+    `client` has `read_all()` and `watch(revision, wait_s)`, which raise
+    `errors.PlatformError` and `HistoryLost`.
+    """
+
+    def __init__(self, client, directory, clock, metrics, deliver):
+        self._client = client
+        self._directory = directory
+        self._clock = clock
+        self._metrics = metrics
+        self._deliver = deliver
+        self._failing_since = None
+        self._failures = 0
+        self._is_synchronized = False
+
+    @property
+    def is_synchronized(self):
+        """Whether the whole registry was read once."""
+        return self._is_synchronized
+
+    @property
+    def failing_since(self):
+        """Time since which calls fail, or None."""
+        return self._failing_since
+
+    async def run(self):
+        """Follow the registry until cancelled."""
+        needs_all = True
+        while True:
+            try:
+                if needs_all:
+                    await self._read_all()
+                    needs_all = False
+                else:
+                    await self._watch()
+                    await asyncio.sleep(WATCH_PAUSE_S)
+            except HistoryLost:
+                eliot.log_message(
+                    'registry_history_lost', revision=self._directory.revision
+                )
+                needs_all = True
+            except errors.PlatformError as error:
+                await self._pause(error)
+
+    async def _read_all(self):
+        snapshot = await self._client.read_all()
+        self._note_success()
+        self._directory.apply_snapshot(snapshot, self._clock.now())
+        self._is_synchronized = True
+        self._deliver()
+
+    async def _watch(self):
+        changes = await self._client.watch(
+            self._directory.revision, WATCH_WAIT_S
+        )
+        self._note_success()
+        now = self._clock.now()
+        self._directory.expire(now)
+        if changes.events:
+            self._directory.apply_changes(changes, now)
+        self._deliver()
+
+    def _note_success(self):
+        self._metrics.count_registry_call('ok')
+        since = self._failing_since
+        self._failures = 0
+        if since is None:
+            return
+        self._failing_since = None
+        now = self._clock.now()
+        eliot.log_message('registry_regained', after_s=round(now - since, 2))
+        if now - since > OUTAGE_S:
+            self._directory.begin_grace(now)
+
+    async def _pause(self, error):
+        self._metrics.count_registry_call('failed')
+        if self._failing_since is None:
+            self._failing_since = self._clock.now()
+            eliot.log_message('registry_lost', error=str(error))
+        pause_s = min(RETRY_S * 2**self._failures, MAX_RETRY_S)
+        self._failures = min(self._failures + 1, 8)
+        await asyncio.sleep(pause_s * (0.5 + random.random() * 0.5))
--- /dev/null
+++ b/lavenderstile/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls only."""
--- /dev/null
+++ b/lavenderstile/platform/headers.py
@@ -0,0 +1,120 @@
+"""Headers that callers, hosts and targets exchange on the platform."""
+
+from .. import headers as header_tools
+from ..edge import dialect
+
+ATTEMPT_ID = b'x-lavenderstile-attempt-id'
+DEADLINE = b'x-lavenderstile-deadline-ms'
+EXPECTED_INSTANCE = b'x-lavenderstile-expected-instance'
+TENANT_NAME = b'x-lavenderstile-tenant-name'
+SIGNATURE = b'x-lavenderstile-server-signature'
+NOT_EXECUTED = b'x-lavenderstile-not-executed'
+LOAD = b'x-lavenderstile-server-load'
+WARMUP = b'x-lavenderstile-warmup-ms'
+AUTHORIZATION = b'authorization'
+
+KEY_SCHEME = 'token'
+
+# Set by the host, whatever the caller sent; the key stays here.
+_NOT_FOR_TARGETS = frozenset(
+    (
+        ATTEMPT_ID,
+        AUTHORIZATION,
+        DEADLINE,
+        EXPECTED_INSTANCE,
+        TENANT_NAME,
+        b'expect',
+    )
+)
+
+# Says that a target has not run a request; a host never passes that on,
+# because it speaks for all sends of the request.
+_NOT_FOR_CALLERS = frozenset((NOT_EXECUTED,))
+
+
+class Headers:
+    """Translates between headers and what they say."""
+
+    def read_request(self, headers):
+        """Return the `RequestFacts` of a caller's headers."""
+        values = {}
+        for name, value in headers:
+            values.setdefault(name, []).append(value)
+        if len(values.get(AUTHORIZATION, ())) > 1:
+            return dialect.RequestFacts(None, None, None, 'several keys')
+        if len(values.get(ATTEMPT_ID, ())) > 1:
+            return dialect.RequestFacts(None, None, None, 'several ids')
+        return dialect.RequestFacts(
+            _get_text(values, ATTEMPT_ID),
+            _read_milliseconds(_get_text(values, DEADLINE)),
+            _read_key(_get_text(values, AUTHORIZATION)),
+        )
+
+    def write_request(self, headers, request_id, left_s, instance, workspace):
+        """Return a request's headers as they go to a target."""
+        kept = [pair for pair in headers if pair[0] not in _NOT_FOR_TARGETS]
+        if request_id is not None:
+            kept.append((ATTEMPT_ID, request_id.encode('latin-1')))
+        kept.append((DEADLINE, str(max(1, int(left_s * 1000))).encode()))
+        kept.append((EXPECTED_INSTANCE, instance.encode()))
+        if workspace is not None:
+            kept.append((TENANT_NAME, workspace.encode()))
+        return kept
+
+    def read_answer(self, status, headers):
+        """Return the `AnswerFacts` of a target's headers."""
+        find = header_tools.find_header
+        request_id = find(headers, ATTEMPT_ID)
+        return dialect.AnswerFacts(
+            request_id=request_id and request_id.decode('latin-1'),
+            is_signed=find(headers, SIGNATURE) is not None,
+            is_encoded=find(headers, b'content-encoding') is not None,
+            not_run=find(headers, NOT_EXECUTED) is not None or status == 421,
+            wrong_instance=status == 421,
+            load=_read_load(find(headers, LOAD)),
+            cold_s=_read_milliseconds(find(headers, WARMUP)),
+            keep_alive_s=_read_keep_alive(find(headers, b'keep-alive')),
+        )
+
+    def clean_answer(self, headers):
+        """Return a target's headers as they go to the caller."""
+        return [pair for pair in headers if pair[0] not in _NOT_FOR_CALLERS]
+
+
+def _get_text(values, name):
+    found = values.get(name)
+    return found[0].decode('latin-1') if found else None
+
+
+def _read_milliseconds(text):
+    try:
+        return max(0, int(text)) / 1000 if text else None
+    except ValueError:
+        return None
+
+
+def _read_key(text):
+    if text is None:
+        return None
+    scheme, _, key = text.partition(' ')
+    if scheme.lower() != KEY_SCHEME:
+        return None
+    return key.strip() or None
+
+
+def _read_load(value):
+    """Return the running and waiting requests that a target tells."""
+    try:
+        running, waiting, _ = value.split(b',')
+        return int(running), int(waiting)
+    except (AttributeError, ValueError):
+        return None
+
+
+def _read_keep_alive(value):
+    """Return the idle time that a target allows, in seconds."""
+    for part in (value or b'').split(b','):
+        name, _, text = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and text.isdigit():
+            return float(text)
+    return None
--- /dev/null
+++ b/lavenderstile/platform/objects.py
@@ -0,0 +1,227 @@
+"""Objects in the platform's store, decoded into the product's types."""
+
+import base64
+import binascii
+
+import msgspec
+
+from ..edge import directory
+from ..edge import models
+
+CONFIGURATION_KEY = 'op/config'
+EVACUATION_PREFIX = 'op/evacuate/'
+TARGET_PREFIX = 'servers/'
+
+# Kinds of routes whose requests may run more than once.
+_IDEMPOTENT_KIND = 'safe'
+_UPLOAD_KIND = 'upload'
+
+
+class ObjectError(Exception):
+    """A value that names nothing to use."""
+
+
+class _Part(msgspec.Struct, rename='camel'):
+    service: str
+    weight: float
+
+
+class _Action(msgspec.Struct, rename='camel'):
+    service: str | None = None
+    traffic_split: list[_Part] | None = None
+    timeout_s: float | None = None
+    max_attempts: int = 1
+
+
+class _Match(msgspec.Struct, rename='camel'):
+    prefix: str
+
+
+class _Rule(msgspec.Struct, rename='camel'):
+    match: _Match
+    action: _Action
+    name: str = ''
+    route_type: str = 'unsafe'
+    # The time within which an answer is worth most, not a limit.
+    target_latency_s: float | None = None
+    priority: int = 0
+    # Open to callers without a key.
+    public: bool = False
+
+
+class _Listener(msgspec.Struct, rename='camel'):
+    host: str
+    rules: list[_Rule] = []
+
+
+class _Cluster(msgspec.Struct, rename='camel'):
+    name: str
+    health_check: str = '/health'
+    max_connections: int = 100
+    warmup_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 15.0
+
+
+class _Config(msgspec.Struct, rename='camel'):
+    version: int
+    listeners: list[_Listener] = []
+    clusters: list[_Cluster] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Server(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # Remaining time, not the whole of it.
+    warmup_left_s: float = 0.0
+    born: int = 0
+
+
+_CONFIG_DECODER = msgspec.json.Decoder(_Config)
+_SERVER_DECODER = msgspec.json.Decoder(_Server)
+
+
+def decode_configuration(data):
+    """Return the `Configuration` in a value; raises `ObjectError`."""
+    try:
+        config = _CONFIG_DECODER.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ObjectError(f'configuration: {error}') from None
+    routes = [
+        _make_route(listener.host, rule)
+        for listener in config.listeners
+        for rule in listener.rules
+    ]
+    limits = config.limits
+    return models.Configuration(
+        config.version,
+        models.CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        ),
+        routes,
+        [
+            models.Service(
+                cluster.name,
+                cluster.health_check,
+                cluster.max_connections,
+                cluster.warmup_s,
+                cluster.cold_per_s,
+            )
+            for cluster in config.clusters
+        ],
+        [
+            models.Workspace(
+                tenant.name,
+                tuple(tenant.api_keys),
+                tenant.priority,
+                tenant.rate_per_s,
+                tenant.burst,
+            )
+            for tenant in config.tenants
+        ],
+    )
+
+
+def _make_route(host, rule):
+    action = rule.action
+    if action.traffic_split:
+        parts = tuple(
+            models.Part(part.service, part.weight)
+            for part in action.traffic_split
+        )
+    elif action.service:
+        parts = (models.Part(action.service, 1.0),)
+    else:
+        raise ObjectError(f'route {rule.name}: no service')
+    return models.Route(
+        name=rule.name,
+        host=host.lower(),
+        prefix=rule.match.prefix,
+        idempotent=rule.route_type == _IDEMPOTENT_KIND,
+        is_upload=rule.route_type == _UPLOAD_KIND,
+        parts=parts,
+        timeout_s=action.timeout_s,
+        max_targets=max(1, action.max_attempts),
+        objective_s=rule.target_latency_s,
+        priority=rule.priority,
+        is_open=rule.public,
+    )
+
+
+def decode_target(instance, data):
+    """Return the `Target` in a value; raises `ObjectError`."""
+    try:
+        server = _SERVER_DECODER.decode(data)
+        address, _, port = server.address.rpartition(':')
+        port = int(port)
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+        raise ObjectError(f'target {instance}: {error}') from None
+    if server.state not in ('ready', 'draining') or not address:
+        raise ObjectError(f'target {instance}: unknown state or address')
+    if server.slots < 1 or not 0 < port < 65536:
+        raise ObjectError(f'target {instance}: no slots or port')
+    return models.Target(
+        instance=instance,
+        service=server.service,
+        address=address,
+        port=port,
+        domain=server.zone,
+        slots=server.slots,
+        is_draining=server.state == 'draining',
+        cold_left_s=max(0.0, server.warmup_left_s),
+        started_ms=server.born,
+    )
+
+
+def decode_value(text):
+    """Return the bytes of a value in base64; raises `ObjectError`."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError) as error:
+        raise ObjectError(f'value is not base64: {error}') from None
+
+
+def decode_written(key, text):
+    """Return what a written key means to the product, or None.
+
+    Raises `ObjectError` for a value that cannot be read.
+    """
+    if key == CONFIGURATION_KEY:
+        return decode_configuration(decode_value(text))
+    if key.startswith(TARGET_PREFIX):
+        instance = key.removeprefix(TARGET_PREFIX)
+        return decode_target(instance, decode_value(text))
+    if key.startswith(EVACUATION_PREFIX):
+        return directory.DomainEvacuated(key.removeprefix(EVACUATION_PREFIX))
+    return None
+
+
+def decode_removed(key):
+    """Return what the removal of a key means to the product, or None."""
+    if key.startswith(TARGET_PREFIX):
+        return directory.TargetRemoved(key.removeprefix(TARGET_PREFIX))
+    if key.startswith(EVACUATION_PREFIX):
+        return directory.DomainRestored(key.removeprefix(EVACUATION_PREFIX))
+    return None
--- /dev/null
+++ b/lavenderstile/platform/program.py
@@ -0,0 +1,33 @@
+"""Program of a host on the users' platform."""
+
+import asyncio
+import gc
+import sys
+
+from .. import errors
+from ..edge import host
+from . import headers
+from . import settings
+from . import store
+
+
+def _make_client(loaded, clock):
+    return store.StoreClient(loaded.registry, clock)
+
+
+async def _run():
+    await host.Host(
+        settings.load_settings, headers.Headers(), _make_client
+    ).run()
+
+
+def main():
+    """Run a host until it is told to stop; return the exit status."""
+    # What the imports made stays for the whole life of the process.
+    gc.freeze()
+    try:
+        asyncio.run(_run())
+    except errors.UserError as error:
+        print(error, file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/lavenderstile/platform/store.py
@@ -0,0 +1,165 @@
+"""Client of the platform's store; it only reads."""
+
+import asyncio
+import socket
+import urllib.parse
+
+import eliot
+import h11
+import msgspec
+
+from .. import errors
+from ..edge import directory
+from ..edge import http_client
+from ..edge import registry
+from . import objects
+
+CONNECT_TIMEOUT_S = 0.5
+
+# The store answers in milliseconds; a watch, this long after its wait.
+CALL_TIMEOUT_S = 1.0
+
+# A watch carries no bytes while it waits, so only probes of the kernel show
+# that its connection went silent: seconds of idleness, between probes, and
+# the number of probes.
+KEEPALIVE = (1, 1, 2)
+
+# A page holds at most about 500 items.
+MAX_PAGES = 1000
+
+
+class _Item(msgspec.Struct, rename='camel'):
+    key: str
+    revision: int
+    value: str | None = None
+    removed: bool = False
+
+
+class _Range(msgspec.Struct, rename='camel'):
+    items: list[_Item]
+    current_rev: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct, rename='camel'):
+    events: list[_Item]
+    current_rev: int
+
+
+class StoreClient:
+    """Reads the store over one kept connection."""
+
+    def __init__(self, address, clock):
+        self._address = address
+        self._clock = clock
+        self._connection = None
+
+    async def read_all(self):
+        """Return a `Snapshot` of everything in the store."""
+        items = []
+        after = ''
+        revision = None
+        for _ in range(MAX_PAGES):
+            query = {'prefix': ''}
+            if after:
+                query['after'] = after
+            page = await self._get('kv-range', query, _Range, 0.0)
+            # Pages are no snapshot: changes since the first one follow.
+            if revision is None:
+                revision = page.current_rev
+            items.extend(page.items)
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        decoded = [each for each in map(_decode, items) if each is not None]
+        return _make_snapshot(revision, decoded)
+
+    async def watch(self, revision, wait_s):
+        """Return the `Changes` after a revision; waits for the first."""
+        query = {
+            'prefix': '',
+            'after': str(revision),
+            'waitMs': str(int(wait_s * 1000)),
+        }
+        reply = await self._get('kv-watch', query, _Events, wait_s)
+        events = [_decode(item) for item in reply.events]
+        return directory.Changes(
+            reply.current_rev, tuple(each for each in events if each)
+        )
+
+    async def _get(self, call, query, kind, wait_s):
+        url = f'/lavenderstile/{call}?{urllib.parse.urlencode(query)}'
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+                answer = await self._exchange(url)
+        except (
+            TimeoutError,
+            http_client.ConnectError,
+            http_client.ConnectionBroken,
+        ) as error:
+            self._drop()
+            raise errors.PlatformError(f'{call}: {error!r}') from error
+        if answer.status == 410:
+            raise registry.HistoryLost
+        if answer.status != 200:
+            raise errors.PlatformError(f'{call}: status {answer.status}')
+        try:
+            return msgspec.json.decode(answer.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise errors.PlatformError(f'{call}: {error}') from error
+
+    async def _exchange(self, url):
+        connection = self._connection
+        if connection is None or not connection.is_open:
+            connection = await http_client.open_connection(
+                *self._address, self._clock.now(), CONNECT_TIMEOUT_S
+            )
+            _keep_alive(connection)
+            self._connection = connection
+        host = f'{self._address[0]}:{self._address[1]}'
+        request = h11.Request(
+            method='GET', target=url, headers=[('Host', host)]
+        )
+        return await connection.exchange(request, b'')
+
+    def _drop(self):
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
+def _keep_alive(connection):
+    idle_s, interval_s, count = KEEPALIVE
+    raw = connection.get_socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, count)
+
+
+def _decode(item):
+    """Return what an item means, or None; an unreadable target is none."""
+    if item.removed or item.value is None:
+        return objects.decode_removed(item.key)
+    try:
+        return objects.decode_written(item.key, item.value)
+    except objects.ObjectError as error:
+        eliot.log_message('store_value_unreadable', error=str(error))
+        return objects.decode_removed(item.key)
+
+
+def _make_snapshot(revision, decoded):
+    configuration = None
+    targets = []
+    evacuated = set()
+    for each in decoded:
+        match each:
+            case directory.models.Configuration():
+                configuration = each
+            case directory.models.Target():
+                targets.append(each)
+            case directory.DomainEvacuated(domain):
+                evacuated.add(domain)
+    return directory.Snapshot(
+        revision, configuration, tuple(targets), frozenset(evacuated)
+    )
