Prefer proven targets by a shared belief; share the retry budget

Retries of safe requests ended at 1 token a host. Ruled out: slow news, as all hosts of a domain hear of a fault within 15 ms.

Each outcome updates a belief that the target is failing, which returns to the prior with time, so that targets that answered lately are preferred. The budget is counted for the hosts of a domain together.

--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -123,7 +123,9 @@
         own = self._own_running.get(instance, 0)
         return own + self._fleet.get_running(instance)
 
-    def choose(self, service, now, kilobytes, excluded, has_connection):
+    def choose(
+        self, service, now, kilobytes, is_repeatable, excluded, has_connection
+    ):
         """Return `Chosen`, `Full` or `Nowhere` for a request.
 
         `excluded` are instances that have had the request.
@@ -153,7 +155,7 @@
                 wait_s
                 + work_s
                 + running / target.slots * 0.1 * work_s
-                + self._health.get_penalty(instance, now)
+                + self._health.get_penalty(instance, is_repeatable, now)
                 + self._random.random() * 0.01
             )
             if target.domain != self._fleet.domain:
--- a/lavenderstile/edge/budgets.py
+++ b/lavenderstile/edge/budgets.py
@@ -1,47 +1,117 @@
-"""Budget of sends beyond the first, as this host's part of the fleet's."""
+"""Budget of sends beyond the first, kept by the hosts of a domain together.
 
-# Part of the published ratio that is used; the rest covers requests that
-# were counted here but do not reach the service.
-RATIO_SHARE = 0.85
+A service may get a share of its requests, and a slack, as further sends in
+each window. Each domain uses its part of the slack; its hosts tell each other
+what they have sent.
+"""
 
-# Part of the published slack that all hosts use together.
-SLACK_SHARE = 0.8
+import collections
 
-# A full bucket holds this part of the host's slack and gains the rest in one
-# window, so that no window has more than the slack.
-FULL_SHARE = 0.75
+# Part of the published ratio and slack that is used; the rest covers what the
+# hosts of a domain send before they hear of each other.
+USED_SHARE = 0.85
 
+# Counts are kept in slices of this length.
+SLICE_S = 0.5
 
-class RetryBudget:
-    """A bucket that requests fill and second sends empty."""
 
-    __slots__ = ('_ratio', '_slack', '_tokens', '_window_s', '_settled_at')
+class WindowCount:
+    """A count over the last seconds, in slices."""
+
+    __slots__ = ('_slices', '_total', '_window_s')
 
-    def __init__(self, ratio, slack, window_s, now):
-        self._ratio = ratio * RATIO_SHARE
-        self._slack = slack * SLACK_SHARE
+    def __init__(self, window_s):
         self._window_s = window_s
-        self._tokens = 1.0
-        self._settled_at = now
+        self._slices = collections.deque()
+        self._total = 0
+
+    def add(self, count, now):
+        """Count events that happen now."""
+        number = int(now / SLICE_S)
+        if self._slices and self._slices[-1][0] == number:
+            self._slices[-1][1] += count
+        else:
+            self._slices.append([number, count])
+        self._total += count
+
+    def get(self, now):
+        """Return the events of the window."""
+        first = int((now - self._window_s) / SLICE_S)
+        while self._slices and self._slices[0][0] < first:
+            self._total -= self._slices.popleft()[1]
+        return self._total
+
+
+class RetryBudget:
+    """Budget of one service; counts are of the whole failure domain."""
+
+    __slots__ = ('_ratio', '_requests', '_retries', '_slack')
+
+    def __init__(self, ratio, slack, window_s):
+        self._ratio = ratio * USED_SHARE
+        self._slack = slack * USED_SHARE
+        self._requests = WindowCount(window_s)
+        self._retries = WindowCount(window_s)
+
+    def record(self, requests, retries, now):
+        """Count requests and further sends of any host of the domain."""
+        if requests:
+            self._requests.add(requests, now)
+        if retries:
+            self._retries.add(retries, now)
+
+    def has_room(self, now, part):
+        """Return whether one more send is allowed.
+
+        `part` is the domain's part of the fleet.
+        """
+        allowed = self._requests.get(now) * self._ratio + self._slack * part
+        return self._retries.get(now) + 1 <= allowed
+
+
+class Budgets:
+    """The retry budgets by service, and what this host has used."""
+
+    __slots__ = ('_budgets', '_limits', '_own')
+
+    def __init__(self, limits):
+        self._limits = limits
+        self._budgets = {}
+        self._own = {}
 
     @property
-    def tokens(self):
-        """Second sends that are allowed now."""
-        return self._tokens
-
-    def record_request(self):
-        """Count a request of a caller."""
-        self._tokens += self._ratio
-
-    def take(self, now, hosts):
-        """Use one second send; return whether the budget allows it."""
-        part = self._slack / max(1, hosts)
-        elapsed_s = max(0.0, now - self._settled_at)
-        self._settled_at = now
-        gained = elapsed_s * part * (1 - FULL_SHARE) / self._window_s
-        full = max(1.0, part * FULL_SHARE)
-        self._tokens = min(self._tokens + gained, full)
-        if self._tokens < 1.0:
+    def own(self):
+        """Requests and further sends of this host, by service."""
+        return self._own
+
+    def _get(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(
+                self._limits.retry_ratio,
+                self._limits.retry_slack,
+                self._limits.retry_window_s,
+            )
+        return budget
+
+    def _add_own(self, service, requests, retries):
+        known = self._own.get(service, (0, 0))
+        self._own[service] = (known[0] + requests, known[1] + retries)
+
+    def record_request(self, service, now):
+        """Count a request of a caller of this host."""
+        self._add_own(service, 1, 0)
+        self._get(service).record(1, 0, now)
+
+    def take(self, service, now, part):
+        """Use one further send; return whether the budget allows it."""
+        budget = self._get(service)
+        if not budget.has_room(now, part):
             return False
-        self._tokens -= 1.0
+        self._add_own(service, 0, 1)
+        budget.record(0, 1, now)
         return True
+
+    def record_peer(self, service, requests, retries, now):
+        """Count what a peer has done since it last told."""
+        self._get(service).record(requests, retries, now)
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -24,6 +24,7 @@
     heard_at: float
     running: dict[str, int]
     admitted: dict[str, int]
+    sends: dict[str, tuple[int, int]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,6 +117,10 @@
             self._largest_at = now
         return self._largest
 
+    def get_domain_part(self, now):
+        """Return the part of the fleet that this domain's hosts are."""
+        return (1 + len(self._peers)) / self.get_size(now)
+
     def get_running(self, instance):
         """Return what the other hosts of the domain run on a target."""
         return self._running.get(instance, 0)
@@ -130,31 +135,39 @@
             del known[:-MAX_CONTACTS]
 
     def take_update(self, update, now):
-        """Take a peer's state; return what it admitted since the last.
+        """Take a peer's state; return what it did since the last one.
 
-        The counts of a peer that is new or has started again begin at what
+        These are requests admitted by workspace, and requests and further
+        sends by service. The counts of a peer that is new or has started again begin at what
         they are now, because nothing tells when these requests came.
         """
         peer = self._peers.get(update.address)
         if update.is_leaving:
             self._drop(update.address)
-            return {}
+            return {}, {}
         if peer is None or peer.started_ms != update.started_ms:
             if peer is not None and peer.started_ms > update.started_ms:
-                return {}
+                return {}, {}
             self._drop(update.address)
             peer = Peer(
-                update.address, update.started_ms, now, {}, update.admitted
+                update.address,
+                update.started_ms,
+                now,
+                {},
+                update.admitted,
+                update.sends,
             )
             self._peers[update.address] = peer
             self.learn_contacts({self._domain: [update.address]})
         added = _subtract(update.admitted, peer.admitted)
+        sent = _subtract_sends(update.sends, peer.sends)
         self._count_running(peer.running, -1)
         self._count_running(update.running, 1)
         peer.running = update.running
         peer.admitted = update.admitted
+        peer.sends = update.sends
         peer.heard_at = now
-        return added
+        return added, sent
 
     def take_digest(self, digest, now):
         """Take another domain's totals; return what it admitted since."""
@@ -207,3 +220,12 @@
         for name, count in new.items()
         if count > old.get(name, 0)
     }
+
+
+def _subtract_sends(new, old):
+    changes = {}
+    for service, (requests, retries) in new.items():
+        before = old.get(service, (0, 0))
+        if (requests, retries) != before:
+            changes[service] = (requests - before[0], retries - before[1])
+    return changes
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -232,7 +232,7 @@
                     f'workspace {workspace.name} is over its rate',
                     wait_s,
                 )
-        self._get_budget(call).record_request()
+        self._budgets.record_request(call.service, self._clock.now())
         return call
 
     def _find_workspace(self, configuration, route, key):
@@ -262,9 +262,6 @@
                 'this request has crashed the targets that ran it',
             )
 
-    def _get_budget(self, call):
-        return self._budgets.get(call.service)
-
     async def _forward(self, call):
         """Send the request until a target answers; return the answer."""
         held_until = None
@@ -306,6 +303,7 @@
             call.service,
             now,
             kilobytes,
+            call.route.idempotent,
             call.excluded,
             lambda instance: self._pools.has_idle(instance, is_cautious),
         )
@@ -313,7 +311,8 @@
     def _may_send_again(self, call, now):
         if len(call.sends) >= call.route.max_targets:
             return False
-        if not self._get_budget(call).take(now, self._fleet.get_size(now)):
+        part = self._fleet.get_domain_part(now)
+        if not self._budgets.take(call.service, now, part):
             self._metrics.count_budget(call.service)
             return False
         return True
@@ -478,7 +477,6 @@
         now = self._clock.now()
         instance = known.target.instance
         self._health.record_latency(instance, call.service, waited_s, now)
-        self._reports.add_latency(instance, call.service, waited_s)
         self._record_fault(instance, FaultKind.SILENT)
 
     def _judge_broken(self, call, known, connection, error):
@@ -517,24 +515,21 @@
                 answer,
             )
         self._guard.clear(call.digest)
-        self._health.record_latency(instance, call.service, took_s, now)
-        self._reports.add_latency(instance, call.service, took_s)
-        if self._health.is_doubted(instance):
-            self._reports.add_success(instance)
-        self._health.record_success(instance, now)
+        self._health.record_success(instance, call.service, took_s, now)
+        self._reports.add_success(instance, call.service, took_s)
         return Answered(answer)
 
     def _record_fault(self, instance, kind):
-        block_s = self._health.record_fault(instance, kind, self._clock.now())
+        now = self._clock.now()
+        is_avoided = self._health.record_fault(instance, kind, now)
         self._reports.add_fault(instance, kind)
         self._metrics.count_fault(kind.value)
-        if block_s:
+        if is_avoided:
             eliot.log_message(
                 'target_avoided',
                 target=instance,
                 fault=kind.value,
-                block_s=block_s,
-                source='own',
+                belief=round(self._health.get_belief(instance, now), 3),
             )
 
     def _record_unreachable(self, instance, detail):
--- a/lavenderstile/edge/health.py
+++ b/lavenderstile/edge/health.py
@@ -1,37 +1,57 @@
-"""How well each target serves, by what the hosts of a domain see."""
+"""Belief about each target, from what the hosts of a domain see.
+
+Targets fail grayly: at any time some of them fail most requests for several
+seconds while their health checks pass. The belief that a target is failing is
+updated by Bayes' rule with each outcome and returns to the prior with time, so
+that proven targets are preferred to those that nobody has tried lately.
+"""
 
 import enum
+import math
+
+# Share of targets that are failing at any time, and the time in which a
+# target's state is forgotten.
+PRIOR = 0.25
+MEMORY_S = 8.0
+
+# Share of requests that fail at a failing and at a sound target.
+FAILING_RATE = 0.85
+SOUND_RATE = 0.015
+
+# Belief about a target that has just started, and the wait that is taken for
+# its first request, so that it is put to use.
+NEW_BELIEF = 0.02
+UNTRIED_S = 0.1
 
-# A target that fails one request is avoided for this long; targets fail
-# about one request in a hundred while they are well and most of them while
-# they are not, so that one fault already speaks for the latter.
-FIRST_BLOCK_S = 1.0
-MAX_BLOCK_S = 6.0
+# Expected seconds of wait that a failed request is worth. A request that may
+# run only once is lost; another one is sent again.
+LOSS_S = 0.6
+REPEATABLE_LOSS_S = 0.5
 
-# Faults of a target that is idle for this long count as the first again.
-FORGIVE_S = 10.0
+# A host that does not reach a target avoids it for this long, twice as long
+# after each further time.
+PATH_BLOCK_S = 1.0
+MAX_PATH_BLOCK_S = 6.0
 
 # A target that sheds load is full; it is avoided until others have had the
 # next requests.
 SHED_BLOCK_S = 0.15
 
-# Expected extra time, in seconds, of a request to a target that is avoided:
-# others are used first, but a queue longer than this is worse.
-BLOCKED_PENALTY_S = 3.0
-
-# After a block the penalty falls to nothing in this time, so that a target
-# in doubt gets a trial only when it is the better choice by little.
-TRIAL_PENALTY_S = 0.4
-TRIAL_FADE_S = 1.5
+# Waiting time that is preferred to a target that is avoided.
+BLOCKED_S = 3.0
 
 # Weight of a new latency, and the time after which a target's mean is the
 # service's again.
 LATENCY_WEIGHT = 0.3
 LATENCY_MEMORY_S = 4.0
+SERVICE_WEIGHT = 0.05
 
 # Work of a service before the first answer, in seconds.
 DEFAULT_WORK_S = 0.2
 
+# Beliefs above this are logged as a change of what the host holds true.
+AVOIDED_BELIEF = 0.5
+
 
 class FaultKind(enum.Enum):
     """What went wrong at a target."""
@@ -47,24 +67,44 @@
     """Evidence about one target."""
 
     __slots__ = (
-        'blocked_until',
-        'fault_at',
-        'faults',
+        'belief',
+        'believed_at',
+        'is_untried',
         'latency_at',
         'latency_s',
         'path_blocked_until',
         'path_faults',
+        'shed_until',
     )
 
-    def __init__(self):
-        self.blocked_until = 0.0
+    def __init__(self, belief, is_untried, now):
+        self.belief = belief
+        self.is_untried = is_untried
+        self.believed_at = now
         self.path_blocked_until = 0.0
         self.path_faults = 0
-        self.fault_at = 0.0
-        self.faults = 0
+        self.shed_until = 0.0
         self.latency_s = None
         self.latency_at = 0.0
 
+    def get_belief(self, now):
+        """Return the belief that the target is failing now."""
+        age_s = max(0.0, now - self.believed_at)
+        left = math.exp(-age_s / MEMORY_S)
+        return PRIOR + (self.belief - PRIOR) * left
+
+    def update(self, failed, now):
+        """Take one outcome into the belief."""
+        belief = self.get_belief(now)
+        if failed:
+            bad, good = FAILING_RATE, SOUND_RATE
+        else:
+            bad, good = 1 - FAILING_RATE, 1 - SOUND_RATE
+        self.is_untried = False
+        bad *= belief
+        self.belief = bad / (bad + good * (1 - belief))
+        self.believed_at = now
+
 
 class HealthBook:
     """Evidence about all targets, from this host and from its peers."""
@@ -75,11 +115,11 @@
         self._targets = {}
         self._work_s = {}
 
-    def _get(self, instance):
-        health = self._targets.get(instance)
-        if health is None:
-            health = self._targets[instance] = TargetHealth()
-        return health
+    def add(self, instance, is_new, now):
+        """Begin to keep evidence about a target."""
+        if instance not in self._targets:
+            belief = NEW_BELIEF if is_new else PRIOR
+            self._targets[instance] = TargetHealth(belief, is_new, now)
 
     def keep(self, instances):
         """Forget the targets that are not among `instances`."""
@@ -90,66 +130,70 @@
         """Return the mean time of a request of a service in seconds."""
         return self._work_s.get(service, DEFAULT_WORK_S)
 
-    def is_blocked(self, instance, now):
-        """Return whether a target is avoided now."""
+    def get_belief(self, instance, now):
+        """Return the belief that a target is failing."""
         health = self._targets.get(instance)
-        return health is not None and (
-            max(health.blocked_until, health.path_blocked_until) > now
-        )
+        return PRIOR if health is None else health.get_belief(now)
 
-    def is_doubted(self, instance):
-        """Return whether an answer of a target is news for the peers."""
+    def is_avoided(self, instance, now):
+        """Return whether a target gets requests only for want of others."""
         health = self._targets.get(instance)
-        return health is not None and health.faults > 0
+        if health is None:
+            return False
+        return (
+            health.path_blocked_until > now
+            or health.get_belief(now) > AVOIDED_BELIEF
+        )
 
     def record_fault(self, instance, kind, now):
         """Record a fault of a target, seen by any host of the domain.
 
-        Returns for how long it is avoided, 0 if nothing changed.
+        Returns whether the target is avoided from now on.
         """
-        health = self._get(instance)
+        health = self._targets.get(instance)
+        if health is None:
+            return False
         if kind is FaultKind.SHED:
-            health.blocked_until = max(
-                health.blocked_until, now + SHED_BLOCK_S
-            )
-            return 0.0
-        if now - health.fault_at > FORGIVE_S:
-            health.faults = 0
-        if health.blocked_until > now and health.faults:
-            # Requests that were under way when the block began.
-            return 0.0
-        block_s = min(FIRST_BLOCK_S * 2**health.faults, MAX_BLOCK_S)
-        health.faults += 1
-        health.fault_at = now
-        health.blocked_until = now + block_s
-        return block_s
+            health.shed_until = now + SHED_BLOCK_S
+            return False
+        before = health.get_belief(now)
+        health.update(True, now)
+        return before <= AVOIDED_BELIEF < health.belief
 
     def record_path_fault(self, instance, now):
-        """Record that this host does not reach a target."""
-        health = self._get(instance)
-        block_s = min(FIRST_BLOCK_S * 2**health.path_faults, MAX_BLOCK_S)
-        health.path_faults += 1
+        """Record that this host does not reach a target.
+
+        Returns for how long it is avoided.
+        """
+        health = self._targets.get(instance)
+        if health is None:
+            return 0.0
+        block_s = min(PATH_BLOCK_S * 2**health.path_faults, MAX_PATH_BLOCK_S)
+        health.path_faults = min(health.path_faults + 1, 8)
         health.path_blocked_until = now + block_s
         return block_s
 
-    def record_success(self, instance, now):
-        """Record an answer of a target."""
-        health = self._get(instance)
-        if health.blocked_until <= now:
-            health.faults = 0
-        health.path_faults = 0
+    def record_success(self, instance, service, latency_s, now, is_own=True):
+        """Record an answer of a target and how long it took."""
+        health = self._targets.get(instance)
+        if health is None:
+            return
+        health.update(False, now)
+        if is_own:
+            health.path_faults = 0
+        self.record_latency(instance, service, latency_s, now)
 
     def record_latency(self, instance, service, latency_s, now):
-        """Record how long a target took for a request."""
-        work_s = self._work_s.get(service)
-        if work_s is None:
-            self._work_s[service] = latency_s
-        else:
-            self._work_s[service] = work_s + 0.05 * (latency_s - work_s)
-        health = self._get(instance)
-        mean_s = self.estimate_latency(instance, service, now)
-        health.latency_s = mean_s + LATENCY_WEIGHT * (latency_s - mean_s)
-        health.latency_at = now
+        """Record how long a target took, or takes at least."""
+        work_s = self._work_s.get(service, latency_s)
+        change_s = SERVICE_WEIGHT * (latency_s - work_s)
+        self._work_s[service] = work_s + change_s
+        health = self._targets.get(instance)
+        if health is not None:
+            mean_s = self.estimate_latency(instance, service, now)
+            change_s = LATENCY_WEIGHT * (latency_s - mean_s)
+            health.latency_s = mean_s + change_s
+            health.latency_at = now
 
     def estimate_latency(self, instance, service, now):
         """Return the time that a target takes for a request."""
@@ -162,15 +206,14 @@
             return work_s
         return health.latency_s + age * (work_s - health.latency_s)
 
-    def get_penalty(self, instance, now):
-        """Return the extra seconds that doubt about a target costs."""
+    def get_penalty(self, instance, is_repeatable, now):
+        """Return the seconds of wait that doubt about a target is worth."""
         health = self._targets.get(instance)
         if health is None:
-            return 0.0
-        until = max(health.blocked_until, health.path_blocked_until)
-        if until > now:
-            return BLOCKED_PENALTY_S
-        if not health.faults and not health.path_faults:
-            return 0.0
-        left = 1.0 - (now - until) / TRIAL_FADE_S
-        return max(0.0, left) * TRIAL_PENALTY_S
+            return PRIOR * LOSS_S
+        if health.path_blocked_until > now or health.shed_until > now:
+            return BLOCKED_S
+        if health.is_untried:
+            return -UNTRIED_S
+        loss_s = REPEATABLE_LOSS_S if is_repeatable else LOSS_S
+        return health.get_belief(now) * loss_s
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -35,29 +35,6 @@
 STOP_POLL_S = 0.05
 
 
-class Budgets:
-    """The retry budgets of a host by service."""
-
-    __slots__ = ('_budgets', '_clock', '_limits')
-
-    def __init__(self, clock, limits):
-        self._clock = clock
-        self._limits = limits
-        self._budgets = {}
-
-    def get(self, service):
-        """Return the budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = budgets_module.RetryBudget(
-                self._limits.retry_ratio,
-                self._limits.retry_slack,
-                self._limits.retry_window_s,
-                self._clock.now(),
-            )
-        return budget
-
-
 class Parts:
     """What the tasks of a host share."""
 
@@ -89,7 +66,7 @@
         self.balancer = balancing.Balancer(
             self.directory, self.fleet, self.health
         )
-        self.budgets = Budgets(clock, settings.limits)
+        self.budgets = budgets_module.Budgets(settings.limits)
         self.pools = target_pools.TargetPools(clock)
         self.guard = crash_guard.CrashGuard()
         self.reports = mesh_module.Reports()
@@ -186,7 +163,7 @@
                     'service': known.target.service,
                     'domain': known.target.domain,
                     'running': parts.balancer.get_running(instance),
-                    'avoided': parts.health.is_blocked(instance, now),
+                    'avoided': parts.health.is_avoided(instance, now),
                     'draining': known.target.is_draining,
                     'cold_s': max(0.0, known.cold_until - now),
                 }
@@ -222,6 +199,9 @@
                 removed=sorted(self._targets - targets)[:8],
                 count=len(targets),
             )
+            now = self._clock.now()
+            for instance in targets - self._targets:
+                self.parts.health.add(instance, bool(self._targets), now)
             self._targets = targets
             self.parts.health.keep(targets)
 
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -37,31 +37,26 @@
 class Reports:
     """What this host has to tell the others."""
 
-    __slots__ = ('faults', 'latencies', 'successes', 'touch')
+    __slots__ = ('_faults', '_successes', 'touch')
 
     def __init__(self):
-        self.faults = []
-        self.successes = []
-        self.latencies = {}
+        self._faults = []
+        self._successes = {}
         self.touch = _ignore
 
     def add_fault(self, instance, kind):
         """Tell that a target failed a request."""
-        self.faults.append(messages.Fault(instance, kind.value))
+        self._faults.append(messages.Fault(instance, kind.value))
         self.touch()
 
-    def add_success(self, instance):
-        """Tell that a target in doubt answered."""
-        self.successes.append(instance)
-
-    def add_latency(self, instance, service, latency_s):
-        """Tell how long a target took."""
-        self.latencies[instance] = (service, round(latency_s, 3))
+    def add_success(self, instance, service, latency_s):
+        """Tell that a target answered, and how long it took."""
+        self._successes[instance] = (service, round(latency_s, 3))
 
     def take(self):
         """Return and forget everything."""
-        taken = self.faults, self.successes, self.latencies
-        self.faults, self.successes, self.latencies = [], [], {}
+        taken = self._faults, self._successes
+        self._faults, self._successes = [], {}
         return taken
 
 
@@ -77,6 +72,7 @@
         self._fleet = parts.fleet
         self._allowances = parts.allowances
         self._balancer = parts.balancer
+        self._budgets = parts.budgets
         self._health = parts.health
         self._guard = parts.guard
         self._reports = parts.reports
@@ -214,7 +210,9 @@
         if update.address == self._fleet.address:
             return
         is_new = update.address not in self._fleet.peers
-        added = self._fleet.take_update(update, now)
+        added, sent = self._fleet.take_update(update, now)
+        for service, (requests, retries) in sent.items():
+            self._budgets.record_peer(service, requests, retries, now)
         if is_new and not update.is_leaving:
             eliot.log_message(
                 'host_heard', host=update.address, known=len(self._fleet.peers)
@@ -222,10 +220,10 @@
             self._send(update.address, messages.pack(self._make_update()))
         self._allowances.record(added, now)
         self._add_totals(added)
-        for instance, (service, latency_s) in update.latencies.items():
-            self._health.record_latency(instance, service, latency_s, now)
-        for instance in update.successes:
-            self._health.record_success(instance, now)
+        for instance, (service, latency_s) in update.successes.items():
+            self._health.record_success(
+                instance, service, latency_s, now, is_own=False
+            )
         for fault in update.faults:
             self._take_fault(fault, update.address, now)
         for crash in update.crashes:
@@ -238,15 +236,7 @@
         except ValueError:
             eliot.log_message('fault_unknown', kind=fault.kind, sender=sender)
             return
-        block_s = self._health.record_fault(fault.instance, kind, now)
-        if block_s:
-            eliot.log_message(
-                'target_avoided',
-                target=fault.instance,
-                fault=fault.kind,
-                block_s=block_s,
-                source=sender,
-            )
+        self._health.record_fault(fault.instance, kind, now)
 
     def _take_digest(self, digest, data, sender, now):
         if digest.domain == self._fleet.domain:
@@ -272,18 +262,18 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(max(0.0, due_s), self._send_update)
 
-    def _make_update(self, news=((), (), {}), crashes=()):
-        faults, successes, latencies = news
+    def _make_update(self, news=((), {}), crashes=()):
+        faults, successes = news
         return messages.Update(
             self._fleet.address,
             self._fleet.domain,
             self._started_ms,
             dict(self._balancer.own_running),
             list(faults),
-            list(successes),
+            successes,
             list(crashes),
             self._allowances.admitted,
-            latencies,
+            self._budgets.own,
             self._is_leaving,
         )
 
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -42,8 +42,9 @@
 
     `running` has the requests that this host has sent to each target and
     that are not answered; a target that is missing has none of them.
-    `admitted` are counts by workspace since the start of the process.
-
+    `successes` has the service and the seconds of answers by target. The
+    others count since the start of the process: `admitted` the requests by
+    workspace, `sends` the requests and the sends beyond the first by service.
     """
 
     address: str
@@ -51,10 +52,10 @@
     started_ms: int
     running: dict[str, int]
     faults: list[Fault]
-    successes: list[str]
+    successes: dict[str, tuple[str, float]]
     crashes: list[Crash]
     admitted: dict[str, int]
-    latencies: dict[str, tuple[str, float]]
+    sends: dict[str, tuple[int, int]]
     is_leaving: bool = False
 
 
