--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -1,6 +1,7 @@
 """Choice of the target for a request."""
 
 import dataclasses
+import math
 import random
 
 from .. import hashing
@@ -17,6 +18,14 @@
 # A new connection costs the target a handshake.
 CONNECTING_S = 0.03
 
+# While a service fails, targets are kept in use: one that had no request for
+# this long is preferred by this much.
+UNUSED_S = 0.9
+KEPT_IN_USE_S = 1.0
+
+# Targets that are kept in use beyond the share that has to be.
+USED_MARGIN = 0.1
+
 # Hosts that may send to a cold target; each has this part of its rate.
 COLD_OWNERS = 2
 
@@ -84,15 +93,23 @@
         '_cold_gate',
         '_directory',
         '_fleet',
+        '_floor_share',
         '_health',
+        '_outcomes',
         '_own_running',
         '_random',
+        '_used_at',
     )
 
-    def __init__(self, directory, fleet, health, rng=None):
+    def __init__(
+        self, directory, fleet, health, outcomes, floor_share, rng=None
+    ):
         self._directory = directory
         self._fleet = fleet
         self._health = health
+        self._outcomes = outcomes
+        self._floor_share = floor_share
+        self._used_at = {}
         self._own_running = {}
         self._cold_gate = ColdGate(fleet)
         self._random = rng or random.Random()
@@ -106,9 +123,41 @@
         """Count a request that goes to a target."""
         instance = known.target.instance
         self._own_running[instance] = self._own_running.get(instance, 0) + 1
+        self._used_at[instance] = now
         if known.cold_until > now:
             self._cold_gate.record(known, now)
 
+    def note_used(self, instances, now):
+        """Note targets that other hosts of the domain use."""
+        for instance in instances:
+            self._used_at[instance] = now
+
+    def keep(self, instances):
+        """Forget the targets that are not among `instances`."""
+        for instance in self._used_at.keys() - instances:
+            del self._used_at[instance]
+
+    def _find_unused(self, service, now):
+        """Return the targets that are to be put to use.
+
+        A service whose requests fail may not be left with few of its sound
+        targets, however well these do.
+        """
+        if not self._outcomes.is_failing(service, now):
+            return frozenset()
+        own = [
+            known.target.instance
+            for known in self._directory.list_targets(service)
+            if known.target.domain == self._fleet.domain
+        ]
+        own.sort(key=lambda each: self._health.get_belief(each, now))
+        share = min(1.0, self._floor_share + USED_MARGIN)
+        kept = own[: math.ceil(share * len(own))]
+        oldest = now - UNUSED_S
+        return frozenset(
+            each for each in kept if self._used_at.get(each, 0.0) < oldest
+        )
+
     def end(self, known):
         """Count the end of a request."""
         instance = known.target.instance
@@ -135,6 +184,7 @@
         best_score = None
         fullest_s = None
         cold_rate = self._get_cold_rate(service)
+        unused = self._find_unused(service, now)
         for known in self._directory.list_targets(service):
             target = known.target
             instance = target.instance
@@ -160,6 +210,8 @@
             )
             if target.domain != self._fleet.domain:
                 score += CROSSING_S + kilobytes * CROSSING_S_PER_KB
+            if instance in unused:
+                score -= KEPT_IN_USE_S
             if not has_connection(instance):
                 score += CONNECTING_S
             if best is None or score < best_score:
--- a/lavenderstile/edge/budgets.py
+++ b/lavenderstile/edge/budgets.py
@@ -81,7 +81,7 @@
 
     @property
     def own(self):
-        """Requests and further sends of this host, by service."""
+        """Requests, further sends and failures of this host, by service."""
         return self._own
 
     def _get(self, service):
@@ -94,21 +94,29 @@
             )
         return budget
 
-    def _add_own(self, service, requests, retries):
-        known = self._own.get(service, (0, 0))
-        self._own[service] = (known[0] + requests, known[1] + retries)
+    def _add_own(self, service, requests, retries, failed):
+        known = self._own.get(service, (0, 0, 0))
+        self._own[service] = (
+            known[0] + requests,
+            known[1] + retries,
+            known[2] + failed,
+        )
 
     def record_request(self, service, now):
         """Count a request of a caller of this host."""
-        self._add_own(service, 1, 0)
+        self._add_own(service, 1, 0, 0)
         self._get(service).record(1, 0, now)
 
+    def record_failure(self, service):
+        """Count a request of this host that failed."""
+        self._add_own(service, 0, 0, 1)
+
     def take(self, service, now, part):
         """Use one further send; return whether the budget allows it."""
         budget = self._get(service)
         if not budget.has_room(now, part):
             return False
-        self._add_own(service, 0, 1)
+        self._add_own(service, 0, 1, 0)
         budget.record(0, 1, now)
         return True
 
--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -1,5 +1,6 @@
 """The configuration and targets in force on a host."""
 
+import collections
 import dataclasses
 
 from . import models
@@ -8,6 +9,10 @@
 # seconds of its return; until then their removal says nothing.
 LAPSE_GRACE_S = 2.0
 
+# Entries that lapse are most of a service's at once; where fewer are missing
+# after an outage, their targets have left and get nothing more.
+LAPSE_SHARE = 0.4
+
 
 @dataclasses.dataclass(slots=True)
 class KnownTarget:
@@ -34,10 +39,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """What changed after a revision, in order of the changes."""
+    """What changed up to a revision: pairs of a revision and an event.
+
+    `body` is the registry's answer itself, to be passed on to other hosts.
+    """
 
     revision: int
     events: tuple
+    body: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,19 +133,24 @@
         self._index()
 
     def apply_changes(self, changes, now):
-        """Apply changes in their order; return the events that counted."""
-        for event in changes.events:
+        """Apply the changes that are newer than the state."""
+        removed = {}
+        for revision, event in changes.events:
+            if revision <= self._revision:
+                continue
             match event:
                 case models.Configuration():
                     self._take_configuration(event)
                 case models.Target():
+                    removed.pop(event.instance, None)
                     self._put(event, now)
                 case TargetRemoved(instance):
-                    self._remove(instance, now)
+                    removed[instance] = True
                 case DomainEvacuated(domain):
                     self._evacuated |= {domain}
                 case DomainRestored(domain):
                     self._evacuated -= {domain}
+        self._remove_all(removed, now)
         self._revision = max(self._revision, changes.revision)
         self._index()
 
@@ -179,15 +193,29 @@
         for instance in former:
             del self._targets[instance]
 
-    def _remove(self, instance, now):
-        known = self._targets.get(instance)
-        if known is None:
-            return
-        if now < self._grace_until:
-            if known.removed_at is None:
+    def _remove_all(self, instances, now):
+        """Remove targets; keep those for a while that seem to have lapsed."""
+        missing = [each for each in instances if each in self._targets]
+        lapsed = self._find_lapsed(missing) if now < self._grace_until else ()
+        for instance in missing:
+            known = self._targets[instance]
+            if known.target.service not in lapsed:
+                del self._targets[instance]
+            elif known.removed_at is None:
                 known.removed_at = now
-            return
-        del self._targets[instance]
+
+    def _find_lapsed(self, missing):
+        """Return the services that miss too many targets at once."""
+        services = [self._targets[each].target.service for each in missing]
+        counts = collections.Counter(services)
+        totals = collections.Counter(
+            known.target.service for known in self._targets.values()
+        )
+        return {
+            service
+            for service, count in counts.items()
+            if count > LAPSE_SHARE * totals[service]
+        }
 
     def _index(self):
         self._by_service = {}
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -24,7 +24,8 @@
     heard_at: float
     running: dict[str, int]
     admitted: dict[str, int]
-    sends: dict[str, tuple[int, int]]
+    sends: dict[str, tuple[int, int, int]]
+    contact_at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +38,7 @@
     size: int
     contacts: list[str]
     admitted: dict[str, int]
+    outcomes: dict[str, tuple[int, int]]
 
 
 class Fleet:
@@ -137,9 +139,10 @@
     def take_update(self, update, now):
         """Take a peer's state; return what it did since the last one.
 
-        These are requests admitted by workspace, and requests and further
-        sends by service. The counts of a peer that is new or has started again begin at what
-        they are now, because nothing tells when these requests came.
+        These are requests admitted by workspace, and by service the
+        requests, the further sends and the failures. The counts of a peer
+        that is new or has started again begin at what they are now, because
+        nothing tells when these requests came.
         """
         peer = self._peers.get(update.address)
         if update.is_leaving:
@@ -156,21 +159,27 @@
                 {},
                 update.admitted,
                 update.sends,
+                now,
             )
             self._peers[update.address] = peer
             self.learn_contacts({self._domain: [update.address]})
         added = _subtract(update.admitted, peer.admitted)
-        sent = _subtract_sends(update.sends, peer.sends)
+        sent = _subtract_each(update.sends, peer.sends)
         self._count_running(peer.running, -1)
         self._count_running(update.running, 1)
         peer.running = update.running
         peer.admitted = update.admitted
         peer.sends = update.sends
+        peer.contact_at = now - update.contact_age_s
         peer.heard_at = now
         return added, sent
 
     def take_digest(self, digest, now):
-        """Take another domain's totals; return what it admitted since."""
+        """Take another domain's totals; return what it did since the last.
+
+        These are requests admitted by workspace, and requests and failures
+        by service.
+        """
         self.learn_contacts({digest.domain: digest.hosts})
         known = self._domains.get(digest.domain)
         is_same = (
@@ -178,7 +187,10 @@
             and known.origin == digest.origin
             and known.started_ms == digest.started_ms
         )
-        added = _subtract(digest.admitted, known.admitted) if is_same else {}
+        added, outcomes = {}, {}
+        if is_same:
+            added = _subtract(digest.admitted, known.admitted)
+            outcomes = _subtract_each(digest.outcomes, known.outcomes)
         self._domains[digest.domain] = Domain(
             digest.origin,
             digest.started_ms,
@@ -186,8 +198,9 @@
             digest.size,
             digest.hosts,
             digest.admitted,
+            digest.outcomes,
         )
-        return added
+        return added, outcomes
 
     def expire(self, now):
         """Forget silent peers; return their addresses."""
@@ -222,10 +235,12 @@
     }
 
 
-def _subtract_sends(new, old):
+def _subtract_each(new, old):
+    """Return the differences of tuples of counts that are not all zero."""
     changes = {}
-    for service, (requests, retries) in new.items():
-        before = old.get(service, (0, 0))
-        if (requests, retries) != before:
-            changes[service] = (requests - before[0], retries - before[1])
+    for name, counts in new.items():
+        before = old.get(name, (0,) * len(counts))
+        if tuple(counts) != tuple(before):
+            pairs = zip(counts, before, strict=True)
+            changes[name] = tuple(count - past for count, past in pairs)
     return changes
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -133,6 +133,7 @@
         self._balancer = parts.balancer
         self._budgets = parts.budgets
         self._health = parts.health
+        self._outcomes = parts.outcomes
         self._pools = parts.pools
         self._guard = parts.guard
         self._reports = parts.reports
@@ -181,6 +182,11 @@
     def _log(self, call, request, outcome, status):
         took_s = self._clock.now() - request.arrived_at
         self._metrics.record_request(outcome.partition(':')[0], took_s)
+        if call is not None and call.service is not None:
+            failed = int(status >= 500)
+            self._outcomes.record(call.service, 1, failed, self._clock.now())
+            if failed:
+                self._budgets.record_failure(call.service)
         eliot.log_message(
             'request',
             id=call and call.request_id,
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -12,6 +12,7 @@
 from . import balancing
 from . import budgets as budgets_module
 from . import callers
+from . import coverage as coverage_module
 from . import crash_guard
 from . import directory as directory_module
 from . import fleet as fleet_module
@@ -20,6 +21,7 @@
 from . import log_writer
 from . import mesh as mesh_module
 from . import metrics as metrics_module
+from . import outcomes as outcomes_module
 from . import registry
 from . import target_pools
 
@@ -43,12 +45,14 @@
         'balancer',
         'budgets',
         'clock',
+        'coverage',
         'dialect',
         'directory',
         'fleet',
         'guard',
         'health',
         'metrics',
+        'outcomes',
         'pools',
         'reports',
     )
@@ -63,8 +67,14 @@
         )
         self.allowances = allowances_module.Allowances()
         self.health = health_module.HealthBook()
+        self.coverage = coverage_module.Coverage(self.fleet)
+        self.outcomes = outcomes_module.Outcomes()
         self.balancer = balancing.Balancer(
-            self.directory, self.fleet, self.health
+            self.directory,
+            self.fleet,
+            self.health,
+            self.outcomes,
+            settings.limits.floor_share,
         )
         self.budgets = budgets_module.Budgets(settings.limits)
         self.pools = target_pools.TargetPools(clock)
@@ -125,10 +135,13 @@
         self._follower = registry.RegistryFollower(
             make_client(self._settings, self._clock),
             self.parts.directory,
+            self.parts.coverage,
             self._clock,
             self.parts.metrics,
             self._take_directory,
+            self._mesh.pass_on,
         )
+        self._mesh.take_news = self._follower.take_news
         handler = handler_module.RequestHandler(self.parts)
         self._callers = callers.CallerServer(self._clock, handler)
         self._version = None
@@ -204,6 +217,7 @@
                 self.parts.health.add(instance, bool(self._targets), now)
             self._targets = targets
             self.parts.health.keep(targets)
+            self.parts.balancer.keep(targets)
 
     async def run(self):
         """Serve until a signal to stop, then finish what runs."""
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -30,6 +30,9 @@
 LATE_GREETING_S = 4.0
 GREETED = 6
 
+# Age that stands for "never" in messages.
+MAX_CONTACT_AGE_S = 1000.0
+
 # Hosts of other domains that a welcome names.
 WELCOME_CONTACTS = 4
 
@@ -60,7 +63,7 @@
         return taken
 
 
-def _ignore():
+def _ignore(*_):
     """Stand in until the mesh runs."""
 
 
@@ -75,6 +78,9 @@
         self._budgets = parts.budgets
         self._health = parts.health
         self._guard = parts.guard
+        self._coverage = parts.coverage
+        self._directory = parts.directory
+        self._outcomes = parts.outcomes
         self._reports = parts.reports
         self._metrics = parts.metrics
         self._settings = settings
@@ -85,7 +91,7 @@
         self._totals = {}
         self._crashes = []
         self._is_leaving = False
-        self._digest_hosts = {}
+        self.take_news = _ignore
 
     async def start(self):
         """Open the socket."""
@@ -117,6 +123,8 @@
                 self._take_welcome(message)
             case messages.Update():
                 self._take_update(message, now)
+            case messages.News(after, _, body):
+                self.take_news(after, body)
             case messages.Digest():
                 self._take_digest(message, data, addr[0], now)
 
@@ -211,8 +219,11 @@
             return
         is_new = update.address not in self._fleet.peers
         added, sent = self._fleet.take_update(update, now)
-        for service, (requests, retries) in sent.items():
+        for service, (requests, retries, failed) in sent.items():
             self._budgets.record_peer(service, requests, retries, now)
+            self._outcomes.record(service, requests, failed, now)
+        self._coverage.note_revision(update.revision)
+        self._balancer.note_used(update.running, now)
         if is_new and not update.is_leaving:
             eliot.log_message(
                 'host_heard', host=update.address, known=len(self._fleet.peers)
@@ -241,8 +252,12 @@
     def _take_digest(self, digest, data, sender, now):
         if digest.domain == self._fleet.domain:
             return
-        added = self._fleet.take_digest(digest, now)
-        self._digest_hosts[digest.domain] = digest.hosts
+        added, outcomes = self._fleet.take_digest(digest, now)
+        for service, (requests, failed) in outcomes.items():
+            self._outcomes.record(
+                service, requests, failed, now, is_domestic=False
+            )
+        self._coverage.note_revision(digest.revision)
         self._allowances.record(added, now)
         for crash in digest.crashes:
             self._guard.record(crash.digest, crash.instance, now, False)
@@ -274,9 +289,27 @@
             list(crashes),
             self._allowances.admitted,
             self._budgets.own,
+            self._directory.revision,
+            self._get_contact_age(),
             self._is_leaving,
         )
 
+    def _get_contact_age(self):
+        age_s = self._clock.now() - self._coverage.contact_at
+        return round(min(age_s, MAX_CONTACT_AGE_S), 3)
+
+    def pass_on(self, after, changes):
+        """Tell the domain what the registry sent."""
+        data = messages.pack(
+            messages.News(after, changes.revision, changes.body)
+        )
+        if len(data) > messages.MAX_DATAGRAM_BYTES:
+            # Peers see the revision and ask the registry themselves.
+            self._send_update()
+            return
+        for address in self._fleet.peers:
+            self._send(address, data)
+
     def _send_update(self):
         if self._timer is not None:
             self._timer.cancel()
@@ -305,6 +338,8 @@
                 len(members),
                 members[: DIGEST_RECEIVERS + 1],
                 totals,
+                self._outcomes.totals,
+                self._directory.revision,
                 self._crashes,
             )
         )
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -37,6 +37,17 @@
     instance: str
 
 
+class News(msgspec.Struct, tag='n', array_like=True):
+    """Changes that a host read from the registry, as the registry sent them.
+
+    They lead from the revision `after` to `revision`.
+    """
+
+    after: int
+    revision: int
+    body: bytes
+
+
 class Update(msgspec.Struct, tag='u', array_like=True):
     """What a host runs and has seen, for the hosts of its domain.
 
@@ -44,7 +55,9 @@
     that are not answered; a target that is missing has none of them.
     `successes` has the service and the seconds of answers by target. The
     others count since the start of the process: `admitted` the requests by
-    workspace, `sends` the requests and the sends beyond the first by service.
+    workspace, `sends` by service the requests, the sends beyond the first and
+    the requests that failed. `revision` is the registry's that the sender
+    knows, `contact_age_s` the time since it had an answer of its own.
     """
 
     address: str
@@ -55,7 +68,9 @@
     successes: dict[str, tuple[str, float]]
     crashes: list[Crash]
     admitted: dict[str, int]
-    sends: dict[str, tuple[int, int]]
+    sends: dict[str, tuple[int, int, int]]
+    revision: int
+    contact_age_s: float
     is_leaving: bool = False
 
 
@@ -64,7 +79,8 @@
 
     `origin` is the host that counts for its domain; `admitted` are its
     domain's counts by workspace since `started_ms`. `hosts` are some of
-    the domain's hosts, `size` is how many it has.
+    the domain's hosts, `size` is how many it has. `outcomes` are the
+    domain's requests and failures by service.
     """
 
     origin: str
@@ -73,11 +89,13 @@
     size: int
     hosts: list[str]
     admitted: dict[str, int]
+    outcomes: dict[str, tuple[int, int]]
+    revision: int
     crashes: list[Crash]
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Hello | Welcome | Update | Digest)
+_DECODER = msgspec.msgpack.Decoder(Hello | Welcome | Update | Digest | News)
 
 
 def pack(message):
--- a/lavenderstile/edge/registry.py
+++ b/lavenderstile/edge/registry.py
@@ -9,7 +9,11 @@
 
 # A watch that waits longer would notice a lost answer too late: what changes
 # has to be in force two seconds after a stable registry took it.
-WATCH_WAIT_S = 2.0
+WATCH_WAIT_S = 1.0
+
+# Hosts that leave the registry to others look in this interval whether they
+# have to ask themselves.
+IDLE_S = 0.1
 
 # Pause between two watches, so that changes in a row cost one call.
 WATCH_PAUSE_S = 0.35
@@ -30,11 +34,17 @@
     """Keeps a directory up to date; reads only.
 
     `client` has `read_all()` and `watch(revision, wait_s)`, which raise
-    `errors.PlatformError` and `HistoryLost`.
+    `errors.PlatformError` and `HistoryLost`, and `decode_changes(body)`.
+    `coverage` says when this host asks; `pass_on(after, changes)` tells the
+    others.
     """
 
-    def __init__(self, client, directory, clock, metrics, deliver):
+    def __init__(
+        self, client, directory, coverage, clock, metrics, deliver, pass_on
+    ):
         self._client = client
+        self._coverage = coverage
+        self._pass_on = pass_on
         self._directory = directory
         self._clock = clock
         self._metrics = metrics
@@ -61,9 +71,13 @@
                 if needs_all:
                     await self._read_all()
                     needs_all = False
-                else:
-                    await self._watch()
+                elif self._coverage.should_follow(self._clock.now()):
+                    await self._watch(WATCH_WAIT_S)
                     await asyncio.sleep(WATCH_PAUSE_S)
+                elif self._is_behind():
+                    await self._watch(0.0)
+                else:
+                    await asyncio.sleep(IDLE_S)
             except HistoryLost:
                 eliot.log_message(
                     'registry_history_lost', revision=self._directory.revision
@@ -79,19 +93,37 @@
         self._is_synchronized = True
         self._deliver()
 
-    async def _watch(self):
-        changes = await self._client.watch(
-            self._directory.revision, WATCH_WAIT_S
+    def _is_behind(self):
+        return self._coverage.is_behind(
+            self._directory.revision, self._clock.now()
         )
+
+    async def _watch(self, wait_s):
+        after = self._directory.revision
+        changes = await self._client.watch(after, wait_s)
         self._note_success()
+        if wait_s and changes.events:
+            self._pass_on(after, changes)
+        self._apply(changes)
+
+    def take_news(self, after, body):
+        """Take changes that a peer read."""
+        if not self._is_synchronized or after > self._directory.revision:
+            return
+        try:
+            self._apply(self._client.decode_changes(body))
+        except errors.PlatformError as error:
+            eliot.log_message('registry_news_unreadable', error=str(error))
+
+    def _apply(self, changes):
         now = self._clock.now()
         self._directory.expire(now)
-        if changes.events:
-            self._directory.apply_changes(changes, now)
+        self._directory.apply_changes(changes, now)
         self._deliver()
 
     def _note_success(self):
         self._metrics.count_registry_call('ok')
+        self._coverage.contact_at = self._clock.now()
         since = self._failing_since
         self._failures = 0
         if since is None:
--- a/lavenderstile/edge/settings.py
+++ b/lavenderstile/edge/settings.py
@@ -8,12 +8,14 @@
     """Limits that all hosts keep together.
 
     A retry budget is `retry_ratio` of the requests plus `retry_slack` in
-    each `retry_window_s`.
+    each `retry_window_s`. `floor_share` of a service's sound targets stay in
+    use while its requests fail.
     """
 
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    floor_share: float = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lavenderstile/platform/settings.py
+++ b/lavenderstile/platform/settings.py
@@ -22,6 +22,7 @@
         float(bounds.get('retryBudgetRatio', defaults.retry_ratio)),
         float(bounds.get('budgetSlack', defaults.retry_slack)),
         float(bounds.get('retryWindowS', defaults.retry_window_s)),
+        float(bounds.get('floorShare', defaults.floor_share)),
     )
 
 
--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -63,7 +63,8 @@
             query = {'prefix': ''}
             if after:
                 query['after'] = after
-            page = await self._get('kv-range', query, _Range, 0.0)
+            body = await self._get('kv-range', query, 0.0)
+            page = _parse('kv-range', body, _Range)
             # Pages are no snapshot: changes since the first one follow.
             if revision is None:
                 revision = page.current_rev
@@ -81,13 +82,20 @@
             'after': str(revision),
             'waitMs': str(int(wait_s * 1000)),
         }
-        reply = await self._get('kv-watch', query, _Events, wait_s)
-        events = [_decode(item) for item in reply.events]
-        return directory.Changes(
-            reply.current_rev, tuple(each for each in events if each)
-        )
-
-    async def _get(self, call, query, kind, wait_s):
+        body = await self._get('kv-watch', query, wait_s)
+        return self.decode_changes(body)
+
+    def decode_changes(self, body):
+        """Return the `Changes` in the answer to a watch."""
+        reply = _parse('kv-watch', body, _Events)
+        events = [
+            (item.revision, event)
+            for item in reply.events
+            if (event := _decode(item)) is not None
+        ]
+        return directory.Changes(reply.current_rev, tuple(events), body)
+
+    async def _get(self, call, query, wait_s):
         url = f'/lavenderstile/{call}?{urllib.parse.urlencode(query)}'
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
@@ -103,10 +111,7 @@
             raise registry.HistoryLost
         if answer.status != 200:
             raise errors.PlatformError(f'{call}: status {answer.status}')
-        try:
-            return msgspec.json.decode(answer.body, type=kind)
-        except msgspec.MsgspecError as error:
-            raise errors.PlatformError(f'{call}: {error}') from error
+        return answer.body
 
     async def _exchange(self, url):
         connection = self._connection
@@ -128,6 +133,13 @@
             self._connection = None
 
 
+def _parse(call, body, kind):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise errors.PlatformError(f'{call}: {error}') from error
+
+
 def _keep_alive(connection):
     idle_s, interval_s, count = KEEPALIVE
     raw = connection.get_socket()
