Judge 504 answers by their time; weigh bytes against lost uploads

Cause: a route with a very short time limit had its targets answer 504, which counted as faults and made sound targets look bad. Uploads stayed with a failing target of their own domain, since crossing was priced at 1.45 s of wait.

--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -11,9 +11,13 @@
 QUEUE_PER_SLOT = 1.5
 
 # Sending a request to another failure domain costs bandwidth; expressed as
-# the waiting time that is preferred to it.
+# the waiting time that is preferred to it. Besides, what the own domain's
+# targets do is known sooner. A lost upload costs more than its bytes.
 CROSSING_S = 0.25
-CROSSING_S_PER_KB = 0.02
+CROSSING_S_PER_KB = 0.005
+
+# What a target told of its load counts less with its age.
+LOAD_MEMORY_S = 0.8
 
 # A new connection costs the target a handshake.
 CONNECTING_S = 0.03
@@ -92,6 +96,7 @@
     __slots__ = (
         '_cold_gate',
         '_directory',
+        '_distant_load',
         '_fleet',
         '_floor_share',
         '_health',
@@ -110,6 +115,7 @@
         self._outcomes = outcomes
         self._floor_share = floor_share
         self._used_at = {}
+        self._distant_load = {}
         self._own_running = {}
         self._cold_gate = ColdGate(fleet)
         self._random = rng or random.Random()
@@ -134,8 +140,9 @@
 
     def keep(self, instances):
         """Forget the targets that are not among `instances`."""
-        for instance in self._used_at.keys() - instances:
-            del self._used_at[instance]
+        for known in (self._used_at, self._distant_load):
+            for instance in known.keys() - instances:
+                del known[instance]
 
     def _find_unused(self, service, now):
         """Return the targets that are to be put to use.
@@ -167,6 +174,29 @@
         else:
             self._own_running.pop(instance, None)
 
+    def note_load(self, instance, load, now):
+        """Note what a target told of its load with an answer.
+
+        Returns what other domains run there, or None if it is not known.
+        """
+        if load is None:
+            return None
+        # The answered request itself is still counted on both sides.
+        distant = max(0, sum(load) - self.get_running(instance))
+        self._distant_load[instance] = (distant, now)
+        return distant
+
+    def note_distant_load(self, instance, distant, now):
+        """Note what a peer found that other domains run on a target."""
+        self._distant_load[instance] = (distant, now)
+
+    def _estimate_running(self, instance, now):
+        running = self.get_running(instance)
+        distant, at = self._distant_load.get(instance, (0, 0.0))
+        if distant and now - at < LOAD_MEMORY_S:
+            running += distant * (1 - (now - at) / LOAD_MEMORY_S)
+        return running
+
     def get_running(self, instance):
         """Return the requests of the domain's hosts on a target."""
         own = self._own_running.get(instance, 0)
@@ -194,7 +224,7 @@
                 known, cold_rate, now
             ):
                 continue
-            running = self.get_running(instance)
+            running = self._estimate_running(instance, now)
             work_s = self._health.estimate_latency(instance, service, now)
             waiting = running + 1 - target.slots
             wait_s = max(0, waiting) * work_s / target.slots
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -430,10 +430,7 @@
         target = known.target
         request = self._make_request(call, target, left_s)
         started = self._clock.now()
-        patience_s = max(
-            MIN_PATIENCE_S,
-            PATIENCE_FACTOR * self._health.get_work(call.service),
-        )
+        patience_s = self._get_patience(call)
         loop = asyncio.get_running_loop()
         timer = loop.call_later(
             patience_s, self._suspect, call, known, patience_s
@@ -456,6 +453,10 @@
         took_s = self._clock.now() - started
         return self._judge_answer(call, known, connection, answer, took_s)
 
+    def _get_patience(self, call):
+        work_s = self._health.get_work(call.service)
+        return max(MIN_PATIENCE_S, PATIENCE_FACTOR * work_s)
+
     def _make_request(self, call, target, left_s):
         headers = header_tools.remove_hop_by_hop(call.request.headers)
         space = call.workspace.name if call.workspace else None
@@ -513,6 +514,10 @@
             return Failed(
                 FaultKind.BROKEN, f'{instance}: answer is not its own'
             )
+        if answer.status == 504 and took_s < self._get_patience(call):
+            # The request had too little time; that says nothing about the
+            # target.
+            return Failed(FaultKind.SILENT, f'{instance}: status 504', answer)
         if answer.status >= 500:
             self._record_fault(instance, FaultKind.ERROR)
             return Failed(
@@ -521,8 +526,9 @@
                 answer,
             )
         self._guard.clear(call.digest)
+        distant = self._balancer.note_load(instance, facts.load, now)
         self._health.record_success(instance, call.service, took_s, now)
-        self._reports.add_success(instance, call.service, took_s)
+        self._reports.add_success(instance, call.service, took_s, distant)
         return Answered(answer)
 
     def _record_fault(self, instance, kind):
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -52,9 +52,9 @@
         self._faults.append(messages.Fault(instance, kind.value))
         self.touch()
 
-    def add_success(self, instance, service, latency_s):
-        """Tell that a target answered, and how long it took."""
-        self._successes[instance] = (service, round(latency_s, 3))
+    def add_success(self, instance, service, latency_s, distant):
+        """Tell that a target answered, how long it took, and its load."""
+        self._successes[instance] = (service, round(latency_s, 3), distant)
 
     def take(self):
         """Return and forget everything."""
@@ -231,10 +231,13 @@
             self._send(update.address, messages.pack(self._make_update()))
         self._allowances.record(added, now)
         self._add_totals(added)
-        for instance, (service, latency_s) in update.successes.items():
+        for instance, success in update.successes.items():
+            service, latency_s, distant = success
             self._health.record_success(
                 instance, service, latency_s, now, is_own=False
             )
+            if distant is not None:
+                self._balancer.note_distant_load(instance, distant, now)
         for fault in update.faults:
             self._take_fault(fault, update.address, now)
         for crash in update.crashes:
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -53,7 +53,8 @@
 
     `running` has the requests that this host has sent to each target and
     that are not answered; a target that is missing has none of them.
-    `successes` has the service and the seconds of answers by target. The
+    `successes` has the service, the seconds and the load that other domains
+    cause by target. The
     others count since the start of the process: `admitted` the requests by
     workspace, `sends` by service the requests, the sends beyond the first and
     the requests that failed. `revision` is the registry's that the sender
@@ -65,7 +66,7 @@
     started_ms: int
     running: dict[str, int]
     faults: list[Fault]
-    successes: dict[str, tuple[str, float]]
+    successes: dict[str, tuple[str, float, int | None]]
     crashes: list[Crash]
     admitted: dict[str, int]
     sends: dict[str, tuple[int, int, int]]
