--- /dev/null
+++ b/emulator/registered_target.py
@@ -0,0 +1,178 @@
+"""Stand-in for a target of the users' platform, on raw sockets.
+
+Each request is answered by the next behaviour of a script; an empty script
+answers well. Behaviours are functions of (target, request, writer).
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import h11
+
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenRequest:
+    """A request as the target received it."""
+
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+
+    @property
+    def request_id(self):
+        """The id of the caller's try."""
+        return self.headers.get('x-lavenderstile-attempt-id', '')
+
+
+def render(request_id, status=200, body=b'done', headers=()):
+    """Return the bytes of an answer of the target itself."""
+    lines = [
+        f'HTTP/1.1 {status} X',
+        f'content-length: {len(body)}',
+        f'x-lavenderstile-attempt-id: {request_id}',
+        'x-lavenderstile-server-signature: s.1',
+        *headers,
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+async def answer(target, request, writer):
+    """Answer well."""
+    writer.write(render(request.request_id))
+
+
+async def fail(target, request, writer):
+    """Run the request and fail."""
+    writer.write(render(request.request_id, 500, b'failed'))
+
+
+async def shed(target, request, writer):
+    """Reject the request without running it."""
+    headers = ['x-lavenderstile-not-executed: 1']
+    writer.write(render(request.request_id, 503, b'', headers))
+
+
+async def misdirect(target, request, writer):
+    """Say that another target has the address."""
+    writer.write(render(request.request_id, 421, b''))
+
+
+async def hang(target, request, writer):
+    """Never answer."""
+    await asyncio.Event().wait()
+
+
+async def reset(target, request, writer):
+    """End the connection without an answer."""
+    writer.transport.abort()
+
+
+async def truncate(target, request, writer):
+    """Break off in the middle of the answer."""
+    writer.write(render(request.request_id, body=b'x' * 100)[:-50])
+    writer.close()
+
+
+async def answer_twice(target, request, writer):
+    """Send a second answer right after the first."""
+    writer.write(render(request.request_id) * 2)
+
+
+async def answer_for_another(target, request, writer):
+    """Send an answer that belongs to another request before its own."""
+    writer.write(render('someone-else', body=b'theirs'))
+    writer.write(render(request.request_id))
+
+
+async def answer_unsigned(target, request, writer):
+    """Send a success that no target wrote."""
+    body = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n'
+    body += f'x-lavenderstile-attempt-id: {request.request_id}\r\n'.encode()
+    writer.write(body + b'\r\nno')
+
+
+class RegisteredTarget:
+    """One target and what it has seen."""
+
+    def __init__(self, script=()):
+        self.script = list(script)
+        self.seen = []
+        self.cut = 0
+        self._writers = set()
+        self._server = None
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while (request := await self._read(parser, reader)) is not None:
+                self.seen.append(request)
+                behave = self.script.pop(0) if self.script else answer
+                await self._run(behave, request, reader, writer)
+                if writer.is_closing():
+                    return
+                parser = h11.Connection(h11.SERVER)
+        except (ConnectionError, h11.RemoteProtocolError):
+            self.cut += 1
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _run(self, behave, request, reader, writer):
+        """Run a request until it ends or its caller closes."""
+        run = asyncio.ensure_future(behave(self, request, writer))
+        closed = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait(
+            (run, closed), return_when=asyncio.FIRST_COMPLETED
+        )
+        if run not in done:
+            run.cancel()
+            raise ConnectionResetError
+        closed.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await closed
+        await writer.drain()
+
+    async def _read(self, parser, reader):
+        head = None
+        body = []
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await reader.read(READ_BYTES))
+                continue
+            match event:
+                case h11.Request():
+                    head = event
+                case h11.Data():
+                    body.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    headers = {
+                        name.decode(): value.decode()
+                        for name, value in head.headers
+                    }
+                    return SeenRequest(
+                        head.method.decode(),
+                        head.target.decode(),
+                        headers,
+                        b''.join(body),
+                    )
+                case _:
+                    return None
+
+    @contextlib.asynccontextmanager
+    async def serve(self):
+        """Serve inside the running loop; yield the address."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        try:
+            yield f'{host}:{port}'
+        finally:
+            server.close()
+            for writer in list(self._writers):
+                writer.transport.abort()
+            await asyncio.sleep(0)
--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -123,10 +123,8 @@
         self._take_configuration(snapshot.configuration)
         self._evacuated = snapshot.evacuated
         present = {target.instance for target in snapshot.targets}
-        for instance in [
-            each for each in self._targets if each not in present
-        ]:
-            self._remove(instance, now)
+        missing = [each for each in self._targets if each not in present]
+        self._remove_all(missing, now)
         for target in snapshot.targets:
             self._put(target, now)
         self._revision = snapshot.revision
--- /dev/null
+++ b/tests/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the host for targets that register themselves."""
--- /dev/null
+++ b/tests/edge/builders.py
@@ -0,0 +1,139 @@
+"""Objects that the tests of the edge package share."""
+
+from lavenderstile import clocks
+from lavenderstile.edge import balancing
+from lavenderstile.edge import directory
+from lavenderstile.edge import fleet
+from lavenderstile.edge import health
+from lavenderstile.edge import messages
+from lavenderstile.edge import models
+from lavenderstile.edge import outcomes
+
+
+def make_target(instance, **changes):
+    """Return a target; instances end in a number that gives the port."""
+    fields = {
+        'service': 'ledger',
+        'address': '10.9.0.1',
+        'port': 1000 + sum(instance.encode()),
+        'domain': 'a',
+        'slots': 3,
+        'is_draining': False,
+        'cold_left_s': 0.0,
+        'started_ms': 1,
+        **changes,
+    }
+    return models.Target(instance=instance, **fields)
+
+
+def make_route(name='pay', **changes):
+    """Return a route."""
+    fields = {
+        'host': 'races.example',
+        'prefix': f'/{name}/',
+        'idempotent': False,
+        'is_upload': False,
+        'parts': (models.Part('ledger', 1.0),),
+        'timeout_s': 2.0,
+        'max_targets': 2,
+        'objective_s': 0.8,
+        'priority': 1,
+        'is_open': False,
+        **changes,
+    }
+    return models.Route(name=name, **fields)
+
+
+def make_configuration(version=1, routes=None, workspaces=None, limits=None):
+    """Return a configuration with one service."""
+    if workspaces is None:
+        workspaces = [models.Workspace('club', ('key-1',), 0, 0.0, 0.0)]
+    return models.Configuration(
+        version,
+        limits or models.CallerLimits(),
+        routes or [make_route()],
+        [models.Service('ledger', '/health', 100, 3.0, 4.0)],
+        workspaces,
+    )
+
+
+def make_directory(targets, now=0.0, configuration=None, evacuated=()):
+    """Return a directory with targets in force."""
+    found = directory.Directory()
+    snapshot = directory.Snapshot(
+        10,
+        configuration or make_configuration(),
+        tuple(targets),
+        frozenset(evacuated),
+    )
+    found.apply_snapshot(snapshot, now)
+    return found
+
+
+def make_update(address, started_ms=1, **changes):
+    """Return a peer's update."""
+    fields = {
+        'domain': 'a',
+        'running': {},
+        'faults': [],
+        'successes': {},
+        'crashes': [],
+        'admitted': {},
+        'sends': {},
+        'revision': 1,
+        'contact_age_s': 0.0,
+        **changes,
+    }
+    return messages.Update(address=address, started_ms=started_ms, **fields)
+
+
+class Bench:
+    """A balancer with its surroundings and a clock that tests move."""
+
+    def __init__(self, targets, address='10.1.0.1', domain='a', **changes):
+        self.clock = clocks.VirtualClock()
+        now = self.clock.now()
+        self.directory = make_directory(targets, now, **changes)
+        self.fleet = fleet.Fleet(address, domain, 1)
+        self.health = health.HealthBook()
+        self.outcomes = outcomes.Outcomes()
+        for target in targets:
+            self.health.add(target.instance, False, now)
+        self.balancer = balancing.Balancer(
+            self.directory, self.fleet, self.health, self.outcomes, 0.7
+        )
+
+    def prove(self, *instances):
+        """Let targets answer a request now."""
+        for instance in instances:
+            self.health.record_success(
+                instance, 'ledger', 0.2, self.clock.now()
+            )
+
+    def choose(self, excluded=(), kilobytes=1.0, is_repeatable=False):
+        """Return the choice for a request."""
+        return self.balancer.choose(
+            'ledger',
+            self.clock.now(),
+            kilobytes,
+            is_repeatable,
+            excluded,
+            lambda instance: True,
+        )
+
+    def choose_instance(self, **changes):
+        """Return the instance of the chosen target, or None."""
+        choice = self.choose(**changes)
+        if isinstance(choice, balancing.Chosen):
+            return choice.known.target.instance
+        return None
+
+    def send(self, count):
+        """Begin requests; return the instances that get them."""
+        chosen = []
+        for _ in range(count):
+            choice = self.choose()
+            if isinstance(choice, balancing.Chosen):
+                self.balancer.begin(choice.known, self.clock.now())
+                chosen.append(choice.known.target.instance)
+        return chosen
--- /dev/null
+++ b/tests/edge/test_budgets.py
@@ -0,0 +1,60 @@
+"""Tests of the budget of further sends."""
+
+import random
+import unittest
+
+from lavenderstile.edge import budgets
+from lavenderstile.edge import settings
+
+WINDOW_S = 10.0
+LIMITS = settings.FleetLimits(0.2, 64.0, WINDOW_S)
+
+
+class BudgetTest(unittest.TestCase):
+    """Load pattern: targets shed most of what they get.
+
+    Guards against more further sends than the fleet's budget in any window,
+    and against a budget that one host cannot use for its domain.
+    """
+
+    def test_a_domain_keeps_to_its_part(self):
+        hosts = [budgets.Budgets(LIMITS) for _ in range(16)]
+        rng = random.Random(3)
+        sent = []
+        requests = []
+        for step in range(4000):
+            now = step * 0.01
+            host = rng.choice(hosts)
+            host.record_request('ledger', now)
+            requests.append(now)
+            retries = int(host.take('ledger', now, 1 / 3))
+            sent.extend([now] * retries)
+            for other in hosts:
+                if other is not host:
+                    other.record_peer('ledger', 1, retries, now)
+        for start in range(0, 30, 2):
+            end = start + WINDOW_S
+            count = sum(start <= at < end for at in sent)
+            allowed = 0.2 * sum(start <= at < end for at in requests)
+            self.assertLessEqual(count, allowed + 64 / 3)
+        self.assertGreater(len(sent), 0.15 * len(requests))
+
+    def test_one_host_may_use_what_its_domain_has(self):
+        host = budgets.Budgets(LIMITS)
+        host.record_peer('ledger', 100, 0, 0.0)
+        taken = sum(host.take('ledger', 0.0, 1 / 3) for _ in range(100))
+        self.assertEqual(taken, int(100 * 0.17 + 64 * 0.85 / 3))
+
+    def test_services_have_budgets_of_their_own(self):
+        host = budgets.Budgets(LIMITS)
+        while host.take('ledger', 0.0, 0.1):
+            pass
+        self.assertTrue(host.take('archive', 0.0, 0.1))
+
+    def test_the_window_passes(self):
+        count = budgets.WindowCount(WINDOW_S)
+        count.add(3, 0.0)
+        count.add(2, 8.0)
+        self.assertEqual(count.get(9.0), 5)
+        self.assertEqual(count.get(12.0), 2)
+        self.assertEqual(count.get(30.0), 0)
--- /dev/null
+++ b/tests/edge/test_fleet.py
@@ -0,0 +1,100 @@
+"""Tests of the view of the other hosts."""
+
+import unittest
+
+from lavenderstile.edge import fleet
+from lavenderstile.edge import messages
+from tests.edge import builders
+
+
+def make_digest(origin='10.2.0.1', domain='b', **changes):
+    """Return another domain's digest."""
+    fields = {
+        'started_ms': 1,
+        'size': 16,
+        'hosts': [origin],
+        'admitted': {},
+        'outcomes': {},
+        'revision': 1,
+        'crashes': [],
+        **changes,
+    }
+    return messages.Digest(origin=origin, domain=domain, **fields)
+
+
+class PeerTest(unittest.TestCase):
+    """Guards against load and use that is counted twice or not at all."""
+
+    def setUp(self):
+        self.fleet = fleet.Fleet('10.1.0.2', 'a', 1)
+
+    def take(self, address, now=0.0, **changes):
+        """Take an update; return the admitted requests."""
+        update = builders.make_update(address, **changes)
+        return self.fleet.take_update(update, now)[0]
+
+    def test_running_requests_are_the_sum_of_the_last_updates(self):
+        self.take('10.1.0.3', running={'i-1': 2})
+        self.take('10.1.0.4', running={'i-1': 1, 'i-2': 1})
+        self.take('10.1.0.3', running={'i-1': 1})
+        self.assertEqual(self.fleet.get_running('i-1'), 2)
+        self.assertEqual(self.fleet.get_running('i-2'), 1)
+
+    def test_a_silent_peer_runs_nothing(self):
+        self.take('10.1.0.3', running={'i-1': 2})
+        limit = fleet.SILENCE_LIMIT_S
+        self.assertEqual(self.fleet.expire(limit + 0.1), ['10.1.0.3'])
+        self.assertEqual(self.fleet.get_running('i-1'), 0)
+
+    def test_a_leaving_peer_runs_nothing(self):
+        self.take('10.1.0.3', running={'i-1': 2})
+        self.take('10.1.0.3', is_leaving=True)
+        self.assertEqual(self.fleet.members, ['10.1.0.2'])
+        self.assertEqual(self.fleet.get_running('i-1'), 0)
+
+    def test_only_the_difference_of_counts_is_new(self):
+        self.assertEqual(self.take('10.1.0.3', admitted={'club': 5}), {})
+        added = self.take('10.1.0.3', admitted={'club': 8, 'shop': 1})
+        self.assertEqual(added, {'club': 3, 'shop': 1})
+
+    def test_counts_of_a_restarted_peer_begin_anew(self):
+        self.take('10.1.0.3', admitted={'club': 100})
+        self.take('10.1.0.3', started_ms=2, admitted={'club': 2})
+        added = self.take('10.1.0.3', started_ms=2, admitted={'club': 3})
+        self.assertEqual(added, {'club': 1})
+
+    def test_a_late_update_of_an_earlier_life_is_ignored(self):
+        self.take('10.1.0.3', started_ms=2, running={'i-1': 1})
+        self.take('10.1.0.3', started_ms=1, running={'i-1': 3})
+        self.assertEqual(self.fleet.get_running('i-1'), 1)
+
+
+class DomainTest(unittest.TestCase):
+    """Guards against wrong totals of other domains."""
+
+    def setUp(self):
+        self.fleet = fleet.Fleet('10.1.0.2', 'a', 1)
+
+    def test_repeated_digests_add_nothing(self):
+        digest = make_digest(admitted={'club': 4})
+        self.fleet.take_digest(digest, 0.0)
+        later = make_digest(admitted={'club': 9})
+        self.assertEqual(self.fleet.take_digest(later, 0.5)[0], {'club': 5})
+        self.assertEqual(self.fleet.take_digest(later, 0.6)[0], {})
+
+    def test_another_origin_begins_anew(self):
+        self.fleet.take_digest(make_digest(admitted={'club': 4}), 0.0)
+        other = make_digest('10.2.0.7', admitted={'club': 90})
+        self.assertEqual(self.fleet.take_digest(other, 0.5)[0], {})
+
+    def test_the_size_of_the_fleet_outlasts_a_partition(self):
+        self.fleet.take_digest(make_digest(), 0.0)
+        self.assertEqual(self.fleet.get_size(0.1), 17)
+        self.assertEqual(self.fleet.count_heard(10.0), 1)
+        self.assertEqual(self.fleet.get_size(10.0), 17)
+        self.assertEqual(self.fleet.get_size(60.0), 1)
+
+    def test_the_lowest_host_speaks_for_the_domain(self):
+        self.assertEqual(self.fleet.primary, '10.1.0.2')
+        self.fleet.take_update(builders.make_update('10.1.0.1'), 0.0)
+        self.assertEqual(self.fleet.primary, '10.1.0.1')
--- /dev/null
+++ b/tests/edge/test_messages.py
@@ -0,0 +1,47 @@
+"""Tests of the datagrams between hosts."""
+
+import unittest
+
+import msgspec
+
+from lavenderstile.edge import messages
+from tests.edge import builders
+
+
+class PackTest(unittest.TestCase):
+    """Guards against messages that the receiver cannot read.
+
+    In the first runs every update was refused for one field's type.
+    """
+
+    def test_an_update_comes_back_as_it_was(self):
+        update = builders.make_update(
+            '10.1.0.1',
+            running={'i-1': 2},
+            faults=[messages.Fault('i-1', 'error')],
+            successes={'i-1': ('ledger', 0.25, 3), 'i-2': ('x', 0.1, None)},
+            crashes=[messages.Crash('ff', 'i-1')],
+            admitted={'club': 3},
+            sends={'ledger': (3, 1, 0)},
+        )
+        self.assertEqual(messages.unpack(messages.pack(update)), update)
+
+    def test_other_messages_come_back_as_they_were(self):
+        for message in (
+            messages.Hello('10.1.0.1', 'a', 5),
+            messages.Welcome('10.1.0.1', 'a', 5, {'a': ['10.1.0.2']}),
+            messages.News(3, 7, b'{}'),
+            messages.Digest(
+                '10.1.0.1', 'a', 5, 3, ['x'], {'c': 1}, {'s': (2, 1)}, 9, []
+            ),
+        ):
+            self.assertEqual(messages.unpack(messages.pack(message)), message)
+
+    def test_other_bytes_are_refused(self):
+        for data in (
+            b'',
+            b'\xff',
+            messages.pack(messages.News(1, 2, b''))[:-1],
+        ):
+            with self.assertRaises(msgspec.MsgspecError):
+                messages.unpack(data)
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform."""
