Test the edge with sockets and the adapter against a stand-in store

The store and the registered targets of the emulator speak the published protocol. Found by the tests: a header over its limit was accepted when it came in one piece (now 431), and a log whose reader is slow could lose the end of the line that was begun.

--- a/emulator/registered_target.py
+++ b/emulator/registered_target.py
@@ -118,6 +118,9 @@
                 parser = h11.Connection(h11.SERVER)
         except (ConnectionError, h11.RemoteProtocolError):
             self.cut += 1
+        except asyncio.CancelledError:
+            # The test is over; a task of the stream protocol may not fail.
+            return
         finally:
             self._writers.discard(writer)
             writer.close()
--- a/emulator/registry_store.py
+++ b/emulator/registry_store.py
@@ -144,11 +144,11 @@
         yield address
 
 
-def describe_target(address, instance_number=1, **changes):
+def describe_target(place, instance_number=1, **changes):
     """Return the entry of a target."""
     return {
         'service': SERVICE,
-        'address': address,
+        'address': place,
         'zone': 'zone-a',
         'version': 'v1',
         'slots': 4,
--- a/lavenderstile/edge/callers.py
+++ b/lavenderstile/edge/callers.py
@@ -18,6 +18,9 @@
 # Bodies of all requests together.
 MAX_BUFFERED_BYTES = 96 * 1024 * 1024
 
+# Colon, space and line end of a header.
+_HEADER_EXTRA_BYTES = 4
+
 _PHRASES = {
     400: b'Bad Request',
     401: b'Unauthorized',
@@ -84,9 +87,15 @@
     return head if colon and port.isdigit() else name
 
 
-def read_head(event, now):
+def read_head(event, now, max_bytes):
     """Return the `CallerRequest` of an h11 request event."""
     headers = list(event.headers)
+    # The parser's own limit binds only heads that arrive in pieces.
+    size = len(event.target) + sum(
+        len(name) + len(value) + _HEADER_EXTRA_BYTES for name, value in headers
+    )
+    if size > max_bytes:
+        raise RequestFaulty(431, 'header is too large')
     names = [name for name, _ in headers]
     if b'transfer-encoding' in names and b'content-length' in names:
         raise RequestFaulty(400, 'both Content-Length and Transfer-Encoding')
@@ -183,7 +192,11 @@
     def _take_event(self, event):
         match event:
             case h11.Request():
-                self._request = read_head(event, self._server.now())
+                self._request = read_head(
+                    event,
+                    self._server.now(),
+                    self._server.limits.header_bytes,
+                )
                 if self._parser.they_are_waiting_for_100_continue:
                     self._send(
                         h11.InformationalResponse(status_code=100, headers=[])
@@ -331,6 +344,11 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def address(self):
+        """Address and port of the listener."""
+        return self._server.sockets[0].getsockname()[:2]
+
     def now(self):
         """Return the clock's time."""
         return self._clock.now()
--- a/lavenderstile/edge/log_writer.py
+++ b/lavenderstile/edge/log_writer.py
@@ -11,6 +11,9 @@
 # Lines that wait for standard output; further ones are left out.
 MAX_LINES = 2000
 
+# Rendered lines that wait for a slow reader.
+MAX_WAITING_BYTES = 1024 * 1024
+
 # Lines a second over any longer time; a burst of as many is written too.
 LINES_PER_S = 200
 
@@ -37,6 +40,11 @@
         """Lines that were left out since the last one that says so."""
         return self._left_out
 
+    @property
+    def waiting_bytes(self):
+        """Bytes that wait for a slow reader."""
+        return len(self._rest)
+
     def start(self):
         """Take the messages of the whole process."""
         os.set_blocking(self._descriptor, False)
@@ -82,9 +90,11 @@
                 self._rest = b''
                 break
             self._rest = self._rest[written:]
-        if len(self._rest) > MAX_LINES * 512:
-            self._left_out += self._rest.count(b'\n')
-            self._rest = b''
+        if len(self._rest) > MAX_WAITING_BYTES:
+            # The line that was begun is finished; the others are left out.
+            begun, end, others = self._rest.partition(b'\n')
+            self._left_out += others.count(b'\n')
+            self._rest = begun + end
 
     async def run(self):
         """Write until cancelled."""
--- /dev/null
+++ b/tests/edge/test_callers.py
@@ -0,0 +1,183 @@
+"""Tests of callers' connections: framing, limits and stops."""
+
+import asyncio
+
+from emulator import registered_target as standin
+from emulator import registry_store
+from tests.edge import edge_case
+
+HEAD = (
+    b'POST /pay/1 HTTP/1.1\r\nHost: races.example\r\n'
+    b'X-Lavenderstile-Attempt-Id: try-1\r\nAuthorization: Token key-1\r\n'
+)
+
+
+class FramingTest(edge_case.EdgeCase):
+    """Guards against smuggled requests and callers that speak badly."""
+
+    async def send_raw(self, data):
+        """Send bytes; return everything that comes back."""
+        async with self.connect() as caller:
+            caller.writer.write(data)
+            return await caller.read_to_end()
+
+    async def test_two_lengths_are_refused(self):
+        target = await self.add_target()
+        answer = await self.send_raw(
+            HEAD + b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\n\r\nGET /read/1 HTTP/1.1\r\nHost: races.example\r\n\r\n'
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 400'), answer)
+        self.assertEqual(answer.count(b'HTTP/1.1'), 1)
+        self.assertEqual(target.seen, [])
+
+    async def test_a_malformed_request_is_refused(self):
+        answer = await self.send_raw(b'NONSENSE\r\n\r\n')
+        self.assertTrue(answer.startswith(b'HTTP/1.1 400'), answer)
+        self.assertIn(b'not-run', answer)
+
+    async def test_two_keys_are_refused(self):
+        target = await self.add_target()
+        answer = await self.send_raw(
+            HEAD + b'Authorization: Token key-2\r\nConnection: close\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 400'), answer)
+        self.assertEqual(target.seen, [])
+
+    async def test_a_header_that_is_too_large_is_refused(self):
+        answer = await self.send_raw(
+            HEAD + b'X-Long: ' + b'x' * 40_000 + b'\r\n\r\n'
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 431'), answer[:80])
+
+    async def test_a_body_that_is_too_large_is_refused(self):
+        answer = await self.send_raw(
+            HEAD + b'Content-Length: 2000000\r\n\r\n' + b'x' * 1_500_000
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 413'), answer[:80])
+
+    async def test_a_chunked_body_is_joined(self):
+        target = await self.add_target()
+        answer = await self.send_raw(
+            HEAD + b'Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n'
+            b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+        self.assertEqual(target.seen[0].body, b'abcde')
+
+    async def test_the_absolute_form_is_accepted(self):
+        target = await self.add_target()
+        answer = await self.send_raw(
+            b'GET http://RACES.example:80/read/1 HTTP/1.1\r\n'
+            b'Host: races.example\r\nAuthorization: Token key-1\r\n'
+            b'X-Lavenderstile-Attempt-Id: a\r\nConnection: close\r\n\r\n'
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+        self.assertEqual(target.seen[0].path, '/read/1')
+
+    async def test_requests_sent_ahead_are_answered_in_order(self):
+        target = await self.add_target()
+        async with self.connect() as caller:
+            for number in range(3):
+                caller.writer.write(
+                    b'GET /read/%d HTTP/1.1\r\nHost: races.example\r\n'
+                    b'X-Lavenderstile-Attempt-Id: a%d\r\n'
+                    b'Authorization: Token key-1\r\n%s\r\n'
+                    % (
+                        number,
+                        number,
+                        b'Connection: close\r\n' if number == 2 else b'',
+                    )
+                )
+            answer = await caller.read_to_end()
+        self.assertEqual(answer.count(b'HTTP/1.1 200'), 3)
+        paths = [seen.path for seen in target.seen]
+        self.assertEqual(paths, ['/read/0', '/read/1', '/read/2'])
+
+    async def test_an_expectation_is_answered(self):
+        await self.add_target()
+        async with self.connect() as caller:
+            caller.writer.write(
+                HEAD + b'Expect: 100-continue\r\nContent-Length: 3\r\n\r\n'
+            )
+            async with asyncio.timeout(edge_case.LIMIT_S):
+                line = await caller.reader.readuntil(b'\r\n\r\n')
+            self.assertIn(b'100', line)
+            caller.writer.write(b'abc')
+            async with asyncio.timeout(edge_case.LIMIT_S):
+                line = await caller.reader.readuntil(b'\r\n')
+            self.assertIn(b'200', line)
+
+
+class TimeLimitTest(edge_case.EdgeCase):
+    """Guards against connections that callers leave open for ever."""
+
+    def configure_limits(self, **limits):
+        """Bring limits into force."""
+        data = registry_store.describe_configuration(2)
+        data['limits'].update(limits)
+        self.configure(data)
+
+    async def read_with_sweeps(self, caller):
+        """Apply time limits until the host closes; return its bytes."""
+        reading = asyncio.ensure_future(caller.read_to_end())
+        while not reading.done():
+            self.server.sweep()
+            await asyncio.sleep(0.02)
+        return reading.result()
+
+    async def test_a_header_that_never_ends(self):
+        self.configure_limits(headerTimeoutS=0.1)
+        async with self.connect() as caller:
+            caller.writer.write(HEAD)
+            answer = await self.read_with_sweeps(caller)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408'), answer)
+
+    async def test_a_body_that_stops_in_the_middle(self):
+        target = await self.add_target()
+        async with self.connect() as caller:
+            caller.writer.write(
+                HEAD + b'X-Lavenderstile-Deadline-Ms: 100\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n3\r\nab'
+            )
+            answer = await self.read_with_sweeps(caller)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408'), answer)
+        self.assertEqual(target.seen, [])
+
+    async def test_an_idle_connection_is_closed(self):
+        self.configure_limits(idleTimeoutS=0.1)
+        async with self.connect() as caller:
+            self.assertEqual(await self.read_with_sweeps(caller), b'')
+
+    async def test_a_running_request_is_not_idle(self):
+        self.configure_limits(idleTimeoutS=0.05, headerTimeoutS=0.05)
+        target = await self.add_target(standin.hang)
+        async with self.connect() as caller:
+            caller.send('/pay/1', b'x')
+            await self.wait_until(lambda: target.seen)
+            await asyncio.sleep(0.2)
+            self.server.sweep()
+            self.assertEqual(self.server.open_count, 1)
+
+
+class StopTest(edge_case.EdgeCase):
+    """Guards against a stop that cuts requests."""
+
+    async def test_answers_during_a_stop_close_their_connection(self):
+        await self.add_target()
+        async with self.connect() as caller:
+            self.assertEqual((await caller.request('/read/1'))[0], 200)
+            self.server.is_stopping = True
+            status, headers, _ = await caller.request('/read/2')
+            self.assertEqual((status, headers['connection']), (200, 'close'))
+            self.assertEqual(await caller.read_to_end(), b'')
+
+    async def test_only_idle_connections_are_closed(self):
+        target = await self.add_target(standin.hang)
+        async with self.connect() as busy, self.connect() as idle:
+            busy.send('/pay/1', b'x')
+            await self.wait_until(lambda: target.seen)
+            self.server.close_idle()
+            self.assertEqual(await idle.read_to_end(), b'')
+            self.assertEqual(self.server.active, 1)
--- /dev/null
+++ b/tests/edge/test_http_client.py
@@ -0,0 +1,81 @@
+"""Tests of single connections to targets and to the registry."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+import h11
+
+from emulator import registered_target as standin
+from lavenderstile.edge import http_client
+from tests.edge import edge_case
+
+
+async def drop_length(target, request, writer):
+    """Answer without a length and end the connection."""
+    writer.write(b'HTTP/1.1 200 OK\r\n\r\nall of it')
+    writer.write_eof()
+
+
+async def drop_length_and_reset(target, request, writer):
+    """Answer without a length and reset the connection in the middle."""
+    writer.write(b'HTTP/1.1 200 OK\r\n\r\nhalf')
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    # Closing with a linger time of 0 sends a reset.
+    writer.transport.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against answers that only look complete."""
+
+    async def exchange(self, *script, requests=1):
+        """Send requests on one connection; return it and the last answer."""
+        target = standin.RegisteredTarget(script)
+        address = await self.enterAsyncContext(target.serve())
+        host, _, port = address.rpartition(':')
+        connection = await http_client.open_connection(
+            host, int(port), 0.0, 1.0
+        )
+        request = h11.Request(
+            method='GET', target='/x', headers=[('Host', 'a')]
+        )
+        for _ in range(requests):
+            async with asyncio.timeout(edge_case.LIMIT_S):
+                answer = await connection.exchange(request, b'')
+        return connection, answer
+
+    async def test_a_clean_answer_keeps_the_connection(self):
+        connection, answer = await self.exchange(requests=3)
+        self.assertEqual((answer.status, answer.body), (200, b'done'))
+        self.assertTrue(connection.is_open)
+        self.assertTrue(connection.is_reused)
+
+    async def test_an_answer_without_a_length_ends_with_its_connection(self):
+        connection, answer = await self.exchange(drop_length)
+        self.assertEqual(answer.body, b'all of it')
+        self.assertFalse(connection.is_open)
+
+    async def test_one_that_is_reset_is_not_complete(self):
+        with self.assertRaises(http_client.ConnectionBroken) as caught:
+            await self.exchange(drop_length_and_reset)
+        self.assertTrue(caught.exception.began)
+
+    async def test_a_reset_without_an_answer(self):
+        with self.assertRaises(http_client.ConnectionBroken) as caught:
+            await self.exchange(standin.reset)
+        self.assertFalse(caught.exception.began)
+
+    async def test_bytes_after_the_answer_close_the_connection(self):
+        connection, answer = await self.exchange(standin.answer_twice)
+        self.assertEqual(answer.body, b'done')
+        await asyncio.sleep(0.05)
+        self.assertFalse(connection.is_open)
+
+    async def test_a_target_that_is_down(self):
+        with self.assertRaises(http_client.ConnectError):
+            await http_client.open_connection('127.0.0.1', 1, 0.0, 1.0)
--- /dev/null
+++ b/tests/edge/test_log_writer.py
@@ -0,0 +1,72 @@
+"""Tests of log lines under load."""
+
+import os
+import unittest
+
+import msgspec
+
+from lavenderstile import clocks
+from lavenderstile.edge import log_writer
+
+
+class LogWriterTest(unittest.TestCase):
+    """Guards against logs that hold up requests or grow without bound."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        os.set_blocking(self.writer, False)
+        os.set_blocking(self.reader, False)
+        self.clock = clocks.VirtualClock()
+        self.log = log_writer.LogWriter('front-1', self.clock, self.writer)
+
+    def read_lines(self):
+        """Return what was written, decoded."""
+        data = b''
+        try:
+            while chunk := os.read(self.reader, 65536):
+                data += chunk
+        except BlockingIOError:
+            pass
+        return [msgspec.json.decode(line) for line in data.splitlines()]
+
+    def test_a_message_is_one_line(self):
+        self.log({'message_type': 'start', 'task_uuid': 'x', 'value': {1}})
+        self.log.flush()
+        line = self.read_lines()[0]
+        self.assertEqual(line['host'], 'front-1')
+        self.assertEqual(line['message_type'], 'start')
+        self.assertNotIn('task_uuid', line)
+
+    def test_too_many_lines_are_left_out_and_counted(self):
+        for number in range(log_writer.LINES_PER_S + 50):
+            self.log({'number': number})
+        self.clock.advance(1.0)
+        self.log({'number': 'last'})
+        self.log.flush()
+        lines = self.read_lines()
+        self.assertEqual(len(lines), log_writer.LINES_PER_S + 1)
+        self.assertEqual(lines[-1]['lines_left_out'], 50)
+
+    def test_a_reader_that_does_not_read_holds_nothing_up(self):
+        for _ in range(300):
+            self.clock.advance(1.0)
+            for _ in range(100):
+                self.log({'text': 'x' * 500})
+            self.log.flush()
+            limit = log_writer.MAX_WAITING_BYTES + 100 * 700
+            self.assertLessEqual(self.log.waiting_bytes, limit)
+        self.read_lines()
+        self.log.flush()
+        lines = self.read_lines()
+        self.assertTrue(any('lines_left_out' in line for line in lines))
+
+    def test_a_reader_that_is_gone_holds_nothing_up(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        log = log_writer.LogWriter('front-1', self.clock, writer)
+        self.addCleanup(os.close, writer)
+        log({'text': 'x'})
+        log.flush()
+        self.assertEqual(log.left_out, 1)
--- /dev/null
+++ b/tests/edge/test_registry.py
@@ -0,0 +1,251 @@
+"""Tests of following the registry, against the stand-in for the store."""
+
+import asyncio
+import unittest
+
+from emulator import registry_store
+from lavenderstile import clocks
+from lavenderstile.edge import coverage
+from lavenderstile.edge import directory
+from lavenderstile.edge import fleet
+from lavenderstile.edge import metrics
+from lavenderstile.edge import registry
+from lavenderstile.platform import objects
+from lavenderstile.platform import store as store_client
+from tests.edge import builders
+from tests.edge import edge_case
+
+
+class FollowerCase(unittest.IsolatedAsyncioTestCase):
+    """A follower and a store."""
+
+    async def asyncSetUp(self):
+        self.store = registry_store.RegistryStore()
+        self.address = await self.enterAsyncContext(
+            registry_store.serve_store(self.store)
+        )
+        self.view = fleet.Fleet('10.1.0.1', 'a', 1)
+        self.directory = directory.Directory()
+        self.coverage = coverage.Coverage(self.view)
+        self.passed_on = []
+        self.clock = clocks.Clock()
+        host, _, port = self.address.rpartition(':')
+        client = store_client.StoreClient((host, int(port)), self.clock)
+        self.follower = registry.RegistryFollower(
+            client,
+            self.directory,
+            self.coverage,
+            self.clock,
+            metrics.EdgeMetrics(),
+            lambda: None,
+            lambda after, changes: self.passed_on.append((after, changes)),
+        )
+
+    def put_target(self, instance='i-1', **changes):
+        """Register a target."""
+        entry = registry_store.describe_target('10.9.0.1:80', **changes)
+        self.store.put(f'servers/{instance}', entry)
+
+    def put_configuration(self, version):
+        """Publish a configuration."""
+        self.store.put(
+            'op/config', registry_store.describe_configuration(version)
+        )
+
+    def start(self):
+        """Run the follower until the end of the test."""
+        task = asyncio.create_task(self.follower.run())
+        self.addCleanup(task.cancel)
+
+    async def wait_until(self, predicate):
+        async with asyncio.timeout(edge_case.LIMIT_S):
+            while not predicate():
+                await asyncio.sleep(0.005)
+
+    def list_instances(self):
+        """Return the targets that may get requests."""
+        service = registry_store.SERVICE
+        found = self.directory.list_targets(service)
+        return {known.target.instance for known in found}
+
+
+class FollowTest(FollowerCase):
+    """Guards against changes that are missed or undone."""
+
+    async def test_everything_is_read_and_followed(self):
+        self.put_configuration(3)
+        self.put_target()
+        self.start()
+        await self.wait_until(lambda: self.list_instances() == {'i-1'})
+        self.assertEqual(self.directory.configuration.version, 3)
+        self.put_configuration(5)
+        self.put_target('i-2')
+        self.store.put('op/evacuate/zone-b', {})
+        await self.wait_until(lambda: self.directory.evacuated)
+        self.assertEqual(self.list_instances(), {'i-1', 'i-2'})
+        self.assertEqual(self.directory.configuration.version, 5)
+        self.store.remove('servers/i-1')
+        self.store.remove('op/evacuate/zone-b')
+        await self.wait_until(lambda: not self.directory.evacuated)
+        self.assertEqual(self.list_instances(), {'i-2'})
+
+    async def test_many_entries_come_in_pages(self):
+        for number in range(registry_store.PAGE_ITEMS + 50):
+            self.put_target(f'i-{number:04}', instance_number=number)
+        snapshot = await self.follower._client.read_all()
+        self.assertEqual(len(snapshot.targets), registry_store.PAGE_ITEMS + 50)
+
+    async def test_a_lost_history_is_read_anew(self):
+        self.put_configuration(3)
+        self.start()
+        await self.wait_until(lambda: self.directory.configuration)
+        self.store.mode = 'busy'
+        await self.wait_until(lambda: self.follower.failing_since)
+        self.put_target()
+        self.store.compact()
+        self.store.mode = 'normal'
+        await self.wait_until(lambda: self.list_instances() == {'i-1'})
+
+    async def test_a_store_that_is_away_changes_nothing(self):
+        self.put_configuration(3)
+        self.put_target()
+        self.start()
+        await self.wait_until(lambda: self.list_instances())
+        self.store.mode = 'busy'
+        await self.wait_until(lambda: self.follower.failing_since)
+        self.assertEqual(self.list_instances(), {'i-1'})
+        self.assertTrue(self.follower.is_synchronized)
+        self.store.mode = 'normal'
+        await self.wait_until(lambda: self.follower.failing_since is None)
+
+    async def test_a_store_that_is_away_at_the_start_is_awaited(self):
+        self.store.mode = 'busy'
+        self.start()
+        await self.wait_until(lambda: self.follower.failing_since)
+        self.assertFalse(self.follower.is_synchronized)
+        self.put_configuration(1)
+        self.store.mode = 'normal'
+        await self.wait_until(lambda: self.directory.configuration)
+
+    async def test_entries_of_other_writers_are_left_out(self):
+        self.put_target('good')
+        self.store.put('servers/bytes', b'\xff\xfe not json')
+        self.put_target('odd-state', state='resting')
+        self.put_target('no-slots', slots='many')
+        self.put_target('no-address', address='nowhere')
+        self.store.put('other/key', b'x')
+        self.start()
+        await self.wait_until(lambda: self.follower.is_synchronized)
+        self.assertEqual(self.list_instances(), {'good'})
+
+    async def test_an_entry_that_becomes_unreadable_names_no_target(self):
+        self.put_target()
+        self.start()
+        await self.wait_until(lambda: self.list_instances())
+        self.store.put('servers/i-1', b'{}')
+        await self.wait_until(lambda: not self.list_instances())
+
+    async def test_an_unreadable_configuration_changes_nothing(self):
+        self.put_configuration(3)
+        self.start()
+        await self.wait_until(lambda: self.directory.configuration)
+        self.store.put('op/config', {'version': 'four'})
+        self.put_target()
+        await self.wait_until(lambda: self.list_instances())
+        self.assertEqual(self.directory.configuration.version, 3)
+
+
+class SharingTest(FollowerCase):
+    """Guards against 48 hosts that ask for the same changes."""
+
+    def hear(self, address, **changes):
+        """Take a peer's update."""
+        update = builders.make_update(address, **changes)
+        now = self.clock.now()
+        self.view.take_update(update, now)
+        self.view.take_update(update, now)
+
+    async def test_changes_are_passed_on_as_they_came(self):
+        self.put_configuration(3)
+        self.start()
+        await self.wait_until(lambda: self.directory.configuration)
+        self.put_target()
+        await self.wait_until(lambda: self.passed_on)
+        after, changes = self.passed_on[0]
+        other = directory.Directory()
+        follower = registry.RegistryFollower(
+            self.follower._client,
+            other,
+            self.coverage,
+            self.clock,
+            metrics.EdgeMetrics(),
+            lambda: None,
+            lambda after, changes: None,
+        )
+        follower.take_news(after, changes.body)
+        self.assertEqual(other.targets, {}, 'not synchronized yet')
+        await follower._read_all()
+        follower.take_news(after, changes.body)
+        self.assertIn('i-1', other.targets)
+
+    async def test_news_after_a_gap_are_not_applied(self):
+        """Guards against a host that skips what it has missed."""
+        self.put_configuration(3)
+        await self.follower._read_all()
+        self.put_target('i-1')
+        changes = await self.follower._client.watch(
+            self.directory.revision, 0.0
+        )
+        self.follower.take_news(self.directory.revision + 1, changes.body)
+        self.assertEqual(self.list_instances(), set())
+
+    async def test_unreadable_news_change_nothing(self):
+        self.put_configuration(3)
+        await self.follower._read_all()
+        self.follower.take_news(0, b'\xff')
+        self.assertEqual(self.directory.configuration.version, 3)
+
+    async def test_a_host_with_followers_does_not_ask(self):
+        self.put_configuration(3)
+        await self.follower._read_all()
+        for number in range(2, 18):
+            self.hear(f'10.1.0.{number}')
+        ranked = coverage.hashing.rank('registry', self.view.members)
+        follows = ranked.index('10.1.0.1') < coverage.FOLLOWERS
+        now = self.clock.now()
+        self.assertEqual(self.coverage.should_follow(now), follows)
+
+
+class ObjectTest(unittest.TestCase):
+    """Guards against fields that mean something else than they seem to."""
+
+    def test_fields_of_a_configuration(self):
+        found = edge_case.decode_configuration(
+            registry_store.describe_configuration(4)
+        )
+        self.assertEqual(found.version, 4)
+        read = found.find_route('races.example', '/read/1')
+        pay = found.find_route('races.example', '/pay/1')
+        self.assertTrue(read.idempotent)
+        self.assertFalse(pay.idempotent)
+        self.assertEqual((pay.timeout_s, pay.max_targets), (5.0, 2))
+        self.assertEqual(found.find_workspace('key-1').name, 'club')
+        self.assertEqual(found.services['ledger'].cold_rate, 4.0)
+
+    def test_a_split_route(self):
+        data = registry_store.describe_configuration(4)
+        action = data['listeners'][0]['rules'][0]['action']
+        del action['service']
+        action['trafficSplit'] = [
+            {'service': 'x', 'weight': 90},
+            {'service': 'y', 'weight': 10},
+        ]
+        found = edge_case.decode_configuration(data)
+        parts = found.find_route('races.example', '/read/1').parts
+        self.assertEqual([part.service for part in parts], ['x', 'y'])
+
+    def test_a_route_without_a_service_is_refused(self):
+        data = registry_store.describe_configuration(4)
+        del data['listeners'][0]['rules'][0]['action']['service']
+        with self.assertRaises(objects.ObjectError):
+            edge_case.decode_configuration(data)
--- /dev/null
+++ b/tests/platform_adapter/test_settings.py
@@ -0,0 +1,89 @@
+"""Tests of the settings that the platform fills in."""
+
+import os
+import pathlib
+import re
+import tempfile
+import unittest
+from unittest import mock
+
+from lavenderstile import errors
+from lavenderstile.platform import settings
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+VALUES = {
+    'nodeName|json': '"front-1"',
+    'ip|json': '"10.1.0.37"',
+    'zone|json': '"zone-a"',
+    'region|json': '"region"',
+    'listenAddrs.front|json': '"10.1.0.37:8388"',
+    'listenAddrs.readiness|json': '"10.1.0.37:8384"',
+    'listenAddrs.control|json': '"10.1.0.37:8381"',
+    'internalPorts.0': '7560',
+    'seeds|json': '["10.1.0.37:8381", "10.2.0.8:8381"]',
+    'platform.address|json': '"10.200.1.7:8382"',
+}
+BOUNDS = {'graceS': '6', 'retryBudgetRatio': '0.2', 'strictRevoke': 'false'}
+
+
+def fill_template():
+    """Return the shipped template as the platform fills it in."""
+    text = (ROOT / 'deploy' / 'host.toml').read_text()
+    section = re.compile(r'\{\{#bounds\}\}(.*?)\{\{/bounds\}\}', re.DOTALL)
+    lines = ''.join(
+        section.search(text)[1]
+        .replace('{{@}}', name)
+        .replace('{{.|json}}', value)
+        for name, value in BOUNDS.items()
+    )
+    text = section.sub(lambda _: lines, text)
+    return re.sub(r'\{\{(.*?)\}\}', lambda found: VALUES[found[1]], text)
+
+
+class TemplateTest(unittest.TestCase):
+    """Guards against a template that the host cannot read."""
+
+    def test_the_filled_template_is_read(self):
+        found = settings.read_settings(fill_template(), 'test')
+        self.assertEqual(found.name, 'front-1')
+        self.assertEqual(found.caller_listen, ('10.1.0.37', 8388))
+        self.assertEqual(found.seeds, ('10.1.0.37', '10.2.0.8'))
+        self.assertEqual(found.registry, ('10.200.1.7', 8382))
+        self.assertEqual((found.peer_port, found.stop_s), (7560, 6.0))
+        self.assertEqual(found.limits.retry_ratio, 0.2)
+        self.assertEqual(found.limits.floor_share, 0.7)
+
+
+class FaultTest(unittest.TestCase):
+    """Guards against faults that are not named."""
+
+    def test_a_missing_key_is_named(self):
+        text = fill_template().replace('domain =', 'other =')
+        with self.assertRaisesRegex(errors.SettingsError, 'domain'):
+            settings.read_settings(text, 'test')
+
+    def test_text_that_is_no_toml(self):
+        with self.assertRaises(errors.SettingsError):
+            settings.read_settings('= 3', 'test')
+
+    def test_a_port_that_is_none(self):
+        text = fill_template().replace(':8388', ':x')
+        with self.assertRaisesRegex(errors.SettingsError, 'x'):
+            settings.read_settings(text, 'test')
+
+    def test_a_file_that_is_missing(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, 'none.toml')
+            change = {settings.FILE_VARIABLE: path}
+            with mock.patch.dict(os.environ, change):
+                with self.assertRaises(errors.SettingsError):
+                    settings.load_settings()
+
+    def test_a_variable_that_is_missing(self):
+        with mock.patch.dict(os.environ):
+            os.environ.pop(settings.FILE_VARIABLE, None)
+            with self.assertRaisesRegex(
+                errors.SettingsError, settings.FILE_VARIABLE
+            ):
+                settings.load_settings()
