--- a/tests/edge/test_log_writer.py
+++ b/tests/edge/test_log_writer.py
@@ -18,18 +18,20 @@
         self.addCleanup(os.close, self.writer)
         os.set_blocking(self.writer, False)
         os.set_blocking(self.reader, False)
+        self.begun = b''
         self.clock = clocks.VirtualClock()
         self.log = log_writer.LogWriter('front-1', self.clock, self.writer)
 
     def read_lines(self):
-        """Return what was written, decoded."""
-        data = b''
+        """Return the whole lines that were written, decoded."""
+        data = self.begun
         try:
             while chunk := os.read(self.reader, 65536):
                 data += chunk
         except BlockingIOError:
             pass
-        return [msgspec.json.decode(line) for line in data.splitlines()]
+        *lines, self.begun = data.split(b'\n')
+        return [msgspec.json.decode(line) for line in lines]
 
     def test_a_message_is_one_line(self):
         self.log({'message_type': 'start', 'task_uuid': 'x', 'value': {1}})
