--- a/lavenderstile/cli.py
+++ b/lavenderstile/cli.py
@@ -12,6 +12,7 @@
 from . import cli_files
 from . import cli_hosts
 from . import cli_keys
+from . import cli_logs
 from . import errors
 
 COMMANDS = (
@@ -24,6 +25,7 @@
     cli_hosts.DumpCommand,
     cli_hosts.ExplainRequestCommand,
     cli_hosts.ExplainTargetCommand,
+    cli_logs.ExplainLogCommand,
     cli_hosts.DrainCommand,
     cli_hosts.VersionsCommand,
 )
--- /dev/null
+++ b/tests/test_cli_logs.py
@@ -0,0 +1,71 @@
+"""Tests of the commands that read logs."""
+
+import json
+
+from tests import cli_case
+
+
+def make_line(prefix='', **fields):
+    """Return a log line."""
+    return prefix + json.dumps({'timestamp': 100.0, **fields}) + '\n'
+
+
+LOG = ''.join(
+    (
+        make_line(
+            '  5.01 front-1 ',
+            message_type='request',
+            id='abc',
+            host='front-1',
+            status=502,
+            took_ms=40,
+            sends=['i-1@zone-a +0ms broken'],
+            outcome='target_broken: i-1: connection lost',
+        ),
+        make_line(
+            message_type='target_avoided',
+            host='front-2',
+            target='i-1',
+            fault='broken',
+        ),
+        make_line(
+            message_type='target_avoided',
+            host='front-2',
+            target='i-2',
+            fault='broken',
+        ),
+        make_line(message_type='registry_lost', host='front-1', error='x'),
+        make_line(message_type='registry_lost', host='front-9', error='x'),
+        'no log line\n{broken\n[1]\n',
+    )
+)
+
+
+class ExplainLogTest(cli_case.ToolCase):
+    """Guards against an engineer who has only the logs and no cause."""
+
+    def test_the_cause_and_its_evidence_are_printed(self):
+        code, stdout, _ = self.run_tool('explain', 'log', 'abc', stdin=LOG)
+        self.assertEqual(code, 0)
+        first, *related = stdout.splitlines()
+        self.assertIn('front-1 ended it with 502 after 40 ms', first)
+        self.assertIn('i-1@zone-a +0ms broken', first)
+        self.assertIn('connection lost', first)
+        self.assertEqual(len(related), 2)
+
+    def test_files_are_read(self):
+        path = self.write('hosts.log', LOG)
+        code, value = self.run_json('explain', 'log', 'abc', path)
+        self.assertEqual(code, 0)
+        self.assertEqual(value[0]['request']['status'], 502)
+
+    def test_an_unknown_id(self):
+        code, _, stderr = self.run_tool('explain', 'log', 'nope', stdin=LOG)
+        self.assertEqual(code, 1)
+        self.assertIn('nope', stderr)
+
+    def test_a_missing_file(self):
+        code, _, stderr = self.run_tool('explain', 'log', 'abc', '/none/x')
+        self.assertEqual(code, 1)
+        self.assertIn('/none/x', stderr)
+        self.assertNotIn('Traceback', stderr)
