--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -35,7 +35,7 @@
 
 # A request whose answer takes longer than this multiple of the usual time
 # counts as evidence against its target before it ends.
-PATIENCE_FACTOR = 3.0
+PATIENCE_FACTOR = 2.5
 MIN_PATIENCE_S = 0.6
 
 # Requests wait at the host at most for this part of their time for a target
@@ -95,6 +95,7 @@
         'route',
         'sends',
         'service',
+        'tries',
         'workspace',
     )
 
@@ -109,6 +110,7 @@
         self.digest = None
         self.excluded = set()
         self.sends = []
+        self.tries = 0
         self.connect_failures = 0
         self.may_have_run = False
         self.failure = None
@@ -278,13 +280,13 @@
                 self._give_up(call, Reason.DEADLINE_EXCEEDED, 'out of time')
             choice = self._choose(call, now)
             match choice:
-                case balancing.Chosen(known, wait_s):
-                    if call.sends and not self._may_send_again(call, now):
+                case balancing.Chosen(known, _):
+                    if call.tries and not self._may_send_again(call, now):
                         self._give_up(
                             call, Reason.TARGET_SHED, 'no further send allowed'
                         )
-                    outcome = await self._send(call, known, wait_s)
-                    answer = self._judge(call, known, outcome)
+                    outcome = await self._try(call, known)
+                    answer = self._judge(call, outcome)
                     if answer is not None:
                         return answer
                     continue
@@ -293,7 +295,7 @@
                     is_hopeless = wait_s + work_s > left_s
                 case balancing.Nowhere():
                     wait_s = NO_TARGET_RETRY_S
-                    is_hopeless = bool(call.sends)
+                    is_hopeless = bool(call.tries)
             if held_until is None:
                 held_until = now + HOLD_SHARE * left_s
             if is_hopeless or now >= held_until:
@@ -315,7 +317,7 @@
         )
 
     def _may_send_again(self, call, now):
-        if len(call.sends) >= call.route.max_targets:
+        if call.tries >= call.route.max_targets:
             return False
         part = self._fleet.get_domain_part(now)
         if not self._budgets.take(call.service, now, part):
@@ -337,15 +339,13 @@
             refuse(reason, call.failure.detail, verdict=Verdict.MAY_HAVE_RUN)
         refuse(reason, detail, retry_after_s or NO_TARGET_RETRY_S)
 
-    def _judge(self, call, known, outcome):
+    def _judge(self, call, outcome):
         """Return the answer for the caller, or None to try further."""
-        instance = known.target.instance
-        call.excluded.add(instance)
         match outcome:
             case Answered(answer):
                 return self._pass_on(answer)
             case Unreachable(detail):
-                call.sends.pop()
+                call.tries -= 1
                 call.connect_failures += 1
                 if call.connect_failures > MAX_CONNECT_FAILURES:
                     self._give_up(call, Reason.TARGET_UNREACHABLE, detail)
@@ -370,10 +370,57 @@
         headers = [pair for pair in headers if pair[0] != b'content-length']
         return callers.CallerAnswer(answer.status, headers, answer.body)
 
-    async def _send(self, call, known, wait_s):
+    async def _try(self, call, known):
+        """Send the request; return the outcome that counts.
+
+        A request that may run more than once goes to a second target as
+        well when the first one takes unusually long.
+        """
+        if not call.route.idempotent:
+            return await self._send(call, known)
+        tasks = {asyncio.create_task(self._send(call, known))}
+        try:
+            done, _ = await asyncio.wait(
+                tasks, timeout=self._get_patience(call)
+            )
+            second = None if done else self._choose_second(call)
+            if second is not None:
+                tasks.add(asyncio.create_task(self._send(call, second)))
+            return await self._take_first(call, tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _take_first(self, call, tasks):
+        """Return the first answer of several sends, or the last failure."""
+        while True:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                tasks.discard(task)
+                outcome = task.result()
+                if isinstance(outcome, Answered) or not tasks:
+                    return outcome
+                self._judge(call, outcome)
+
+    def _choose_second(self, call):
+        now = self._clock.now()
+        choice = self._choose(call, now)
+        if not isinstance(choice, balancing.Chosen):
+            return None
+        work_s = self._health.get_work(call.service)
+        if choice.wait_s + work_s > call.deadline - now:
+            return None
+        return choice.known if self._may_send_again(call, now) else None
+
+    async def _send(self, call, known):
         """Send the request to one target; return the outcome."""
         target = known.target
         now = self._clock.now()
+        number = len(call.sends)
+        call.excluded.add(target.instance)
+        call.tries += 1
         call.sends.append(
             f'{target.instance}@{target.domain}'
             f' +{(now - call.request.arrived_at) * 1000:.0f}ms'
@@ -383,12 +430,12 @@
         try:
             outcome = await self._exchange(call, known)
         except BaseException:
-            call.sends[-1] += ' cancelled'
+            call.sends[number] += ' cancelled'
             raise
         finally:
             self._balancer.end(known)
             self._reports.touch()
-        call.sends[-1] += f' {describe(outcome)}'
+        call.sends[number] += f' {describe(outcome)}'
         self._metrics.count_send(call.service, type(outcome).__name__.lower())
         return outcome
 
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -151,6 +151,30 @@
         self.assertIn(b'crashes_targets', body)
 
 
+class SecondSendTest(edge_case.EdgeCase):
+    """Guards against safe requests that wait for a silent target."""
+
+    async def test_a_second_target_answers_for_a_silent_one(self):
+        silent = await self.add_target(standin.hang)
+        self.prefer(silent)
+        await self.add_target()
+        status, _, _ = await self.request('/read/1')
+        self.assertEqual((status, len(silent.seen)), (200, 1))
+        await self.wait_until(lambda: silent.cut)
+        self.assertEqual(self.parts.balancer.own_running, {})
+
+    async def test_an_unsafe_request_waits(self):
+        data = registry_store.describe_configuration(2)
+        for rule in data['listeners'][0]['rules']:
+            rule['action']['timeoutS'] = 1.2
+        self.configure(data)
+        silent = await self.add_target(standin.hang)
+        self.prefer(silent)
+        other = await self.add_target()
+        status, _, _ = await self.request('/pay/1', b'x')
+        self.assertEqual((status, other.seen), (504, []))
+
+
 class RefusalTest(edge_case.EdgeCase):
     """Guards against refusals that are untrue or come late."""
 
