--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -13,8 +13,8 @@
 # Sending a request to another failure domain costs bandwidth; expressed as
 # the waiting time that is preferred to it. Besides, what the own domain's
 # targets do is known sooner. A lost upload costs more than its bytes.
-CROSSING_S = 0.2
-CROSSING_S_PER_KB = 0.003
+CROSSING_S = 0.25
+CROSSING_S_PER_KB = 0.004
 
 # What a target told of its load counts less with its age.
 LOAD_MEMORY_S = 0.8
@@ -22,9 +22,8 @@
 # A new connection costs the target a handshake.
 CONNECTING_S = 0.03
 
-# While a service fails, targets that are not avoided are kept in use: one that
-# had no request for this long is preferred by this much. Targets count as
-# unused after two seconds.
+# Targets that are not avoided are kept in use: one that had no request for
+# this long is preferred by this much. They count as unused after two seconds.
 UNUSED_S = 1.4
 KEPT_IN_USE_S = 1.0
 
@@ -146,17 +145,19 @@
         """Return the targets that are to be put to use.
 
         A service whose requests fail may not be left with few of its sound
-        targets, however well these do.
+        targets, however well these do. Not all failures are seen by hosts,
+        so targets without doubt are always used. While failures are seen,
+        as many targets are as the floor demands, doubtful ones too.
         """
-        if not self._outcomes.is_failing(service, now):
-            return frozenset()
         own = [
             known.target.instance
             for known in self._directory.list_targets(service)
             if known.target.domain == self._fleet.domain
         ]
-        own.sort(key=lambda each: self._health.get_belief(each, now))
-        least = math.ceil(self._floor_share * len(own))
+        least = 0
+        if self._outcomes.is_failing(service, now):
+            own.sort(key=lambda each: self._health.get_belief(each, now))
+            least = math.ceil(self._floor_share * len(own))
         kept = own[:least] + [
             each
             for each in own[least:]
