--- a/tests/edge/test_balancing.py
+++ b/tests/edge/test_balancing.py
@@ -63,7 +63,10 @@
         self.assertNotIn('i-2', bench.send(6))
 
     def test_proven_targets_come_before_unknown_ones(self):
-        bench = builders.Bench(make_targets(6))
+        targets = make_targets(6)
+        bench = builders.Bench(targets)
+        instances = [target.instance for target in targets]
+        bench.balancer.note_used(instances, bench.clock.now())
         bench.prove('i-3')
         self.assertEqual(bench.choose_instance(), 'i-3')
 
