Add a fleet of real hosts to the emulator, and a fault soak

The soak bends connections with a loopback proxy, pauses, kills, stops and reloads hosts and changes keys and targets, and checks what callers and targets see.

--- a/emulator/registered_target.py
+++ b/emulator/registered_target.py
@@ -95,12 +95,17 @@
     writer.write(body + b'\r\nno')
 
 
+# Behaviours of a target that does not run the request.
+NOT_RUNNING = frozenset((shed, misdirect))
+
+
 class RegisteredTarget:
     """One target and what it has seen."""
 
     def __init__(self, script=()):
         self.script = list(script)
         self.seen = []
+        self.run_ids = []
         self.cut = 0
         self._writers = set()
         self._server = None
@@ -112,6 +117,8 @@
             while (request := await self._read(parser, reader)) is not None:
                 self.seen.append(request)
                 behave = self.script.pop(0) if self.script else answer
+                if behave not in NOT_RUNNING:
+                    self.run_ids.append(request.request_id)
                 await self._run(behave, request, reader, writer)
                 if writer.is_closing():
                     return
--- /dev/null
+++ b/emulator/soak.py
@@ -0,0 +1,409 @@
+"""Randomized soak: real hosts under faults that come from outside.
+
+Run it with `python -m emulator.soak --seeds 1 2 3 --duration 20`. Each seed
+gives a schedule of faults: connections to targets and to the store that are
+delayed, cut one way, silenced or reset, hosts that are paused, killed,
+stopped and told to reload, and changes of the configuration, overlapping.
+Callers keep using their connections until these end. What callers and
+targets see is checked against the promises while it runs.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+import sys
+import time
+
+import httpx
+
+from . import edge_fleet
+from . import fault_proxy
+from . import registered_target
+from . import registry_store
+
+CALLERS = 8
+CALLER_PAUSE_S = 0.05
+CALLER_TIMEOUT_S = 6.0
+DEADLINE_MS = 3000
+
+# Statuses that promise that the request has not run and never will.
+NOT_RUN = frozenset((408, 421, 429, 503))
+
+# Time in which a change has to be in force on hosts without a fault.
+IN_FORCE_S = 2.0
+
+# A host that was disturbed is held to time bounds after this time.
+STABLE_S = 4.0
+
+# Time in which each host has to serve after the last fault.
+RECOVERY_S = 15.0
+
+# Behaviours of targets beside good answers, and their share.
+FAULTY_SHARE = 0.08
+BEHAVIOURS = (
+    registered_target.fail,
+    registered_target.shed,
+    registered_target.reset,
+    registered_target.truncate,
+    registered_target.answer_twice,
+    registered_target.answer_for_another,
+    registered_target.answer_unsigned,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a caller saw of one request; status 0 is a broken connection."""
+
+    request_id: str
+    host: str
+    is_unsafe: bool
+    status: int
+    body: bytes
+    sent_at: float
+    key: str
+
+
+class EchoScript(list):
+    """A target's script: mostly answers that name their request."""
+
+    def __init__(self, rng):
+        super().__init__()
+        self._rng = rng
+
+    def __bool__(self):
+        return True
+
+    def pop(self, index=-1):
+        """Return the next behaviour."""
+        if self._rng.random() < FAULTY_SHARE:
+            return self._rng.choice(BEHAVIOURS)
+        return _answer_with_id
+
+
+async def _answer_with_id(target, request, writer):
+    await asyncio.sleep(0.02)
+    body = f'answer to {request.request_id}'.encode()
+    writer.write(registered_target.render(request.request_id, body=body))
+
+
+class Soak:
+    """One run with one seed."""
+
+    def __init__(self, fleet, seed):
+        self._fleet = fleet
+        self._rng = random.Random(seed)
+        self._outcomes = []
+        self._disturbed_at = {}
+        self._problems = []
+        self._keys = ['key-1']
+        self._version = 1
+        self._withdrawn = {}
+        self._number = 0
+
+    @property
+    def problems(self):
+        """Broken promises, as lines."""
+        return self._problems
+
+    @property
+    def outcomes(self):
+        """What callers saw."""
+        return self._outcomes
+
+    async def run(self, duration_s):
+        """Disturb and check for a time, then let everything recover."""
+        for target in self._fleet.targets.values():
+            target.script = EchoScript(self._rng)
+        async with asyncio.TaskGroup() as group:
+            callers = [
+                group.create_task(self._call_repeatedly(number))
+                for number in range(CALLERS)
+            ]
+            end = time.monotonic() + duration_s
+            while time.monotonic() < end:
+                await self._disturb()
+                await asyncio.sleep(self._rng.uniform(0.1, 0.8))
+            await self._heal()
+            await self._check_recovery()
+            for task in callers:
+                task.cancel()
+        self._check_runs()
+        self._check_answers()
+
+    async def _disturb(self):
+        """Begin one fault; it ends by itself while others go on."""
+        fault = self._rng.choice(
+            (
+                self._pause,
+                self._kill,
+                self._terminate,
+                self._reload,
+                self._cut_target,
+                self._cut_store,
+                self._reset_links,
+                self._silence_links,
+                self._change_keys,
+                self._drain_target,
+            )
+        )
+        await fault()
+
+    def _pick_host(self):
+        host = self._rng.choice(self._fleet.hosts)
+        self._disturbed_at[host.name] = float('inf')
+        return host
+
+    def _restore(self, host):
+        self._disturbed_at[host.name] = time.monotonic()
+
+    def _later(self, delay_s, function, *arguments):
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, function, *arguments)
+
+    async def _pause(self):
+        host = self._pick_host()
+        if host.process.is_running:
+            host.process.pause()
+            self._later(self._rng.uniform(0.2, 3.0), self._resume, host)
+
+    def _resume(self, host):
+        if host.process.is_running:
+            host.process.resume()
+        self._restore(host)
+
+    async def _kill(self):
+        host = self._pick_host()
+        if host.process.is_running:
+            await host.process.kill()
+        await self._start_again(host)
+
+    async def _terminate(self):
+        host = self._pick_host()
+        await host.process.stop()
+        if host.process.is_running:
+            self._problems.append(f'{host.name}: did not stop')
+        await self._start_again(host)
+
+    async def _start_again(self, host):
+        if not host.process.is_running:
+            await host.process.start()
+        self._restore(host)
+
+    async def _reload(self):
+        host = self._rng.choice(self._fleet.hosts)
+        if host.process.is_running:
+            host.process.reload()
+
+    async def _cut_target(self):
+        proxy = self._rng.choice(list(self._fleet.proxies.values()))
+        self._bend(proxy)
+
+    async def _cut_store(self):
+        for host in self._fleet.hosts:
+            self._disturbed_at[host.name] = float('inf')
+        self._bend(self._fleet.store_proxy)
+
+    def _bend(self, proxy):
+        modes = [mode for mode in fault_proxy.Mode if mode.value != 'pass']
+        proxy.mode = self._rng.choice(modes)
+        self._later(self._rng.uniform(0.3, 3.0), self._straighten, proxy)
+
+    def _straighten(self, proxy):
+        proxy.mode = fault_proxy.Mode.PASS
+        if proxy is self._fleet.store_proxy:
+            for host in self._fleet.hosts:
+                self._restore(host)
+
+    async def _reset_links(self):
+        self._rng.choice(list(self._fleet.proxies.values())).reset()
+
+    async def _silence_links(self):
+        self._rng.choice(list(self._fleet.proxies.values())).silence()
+
+    async def _change_keys(self):
+        """Publish a version with a new key and without the oldest one."""
+        self._version += self._rng.randint(1, 3)
+        self._keys.append(f'key-{self._version}')
+        if len(self._keys) > 2:
+            self._withdrawn[self._keys.pop(0)] = time.monotonic()
+        data = registry_store.describe_configuration(self._version)
+        data['tenants'][0]['apiKeys'] = list(self._keys)
+        self._fleet.store.put('op/config', data)
+
+    async def _drain_target(self):
+        """Let a target leave and another one join."""
+        if len(self._fleet.targets) > 12:
+            return
+        instance = self._rng.choice(list(self._fleet.targets))
+        with contextlib.suppress(KeyError):
+            self._fleet.store.remove(f'servers/{instance}')
+        domain = self._rng.choice(edge_fleet.DOMAINS)
+        name = f'j-{len(self._fleet.targets)}'
+        target = await self._fleet.add_target(name, domain)
+        target.script = EchoScript(self._rng)
+
+    async def _call_repeatedly(self, number):
+        rng = random.Random(number)
+        limits = httpx.Limits(max_connections=1)
+        while True:
+            host = rng.choice(self._fleet.hosts)
+            async with httpx.AsyncClient(
+                base_url=host.caller_url,
+                trust_env=False,
+                timeout=CALLER_TIMEOUT_S,
+                limits=limits,
+            ) as client:
+                # The connection is used until it ends.
+                while await self._call(client, host, rng):
+                    await asyncio.sleep(CALLER_PAUSE_S)
+            await asyncio.sleep(CALLER_PAUSE_S)
+
+    async def _call(self, client, host, rng):
+        self._number += 1
+        request_id = f'r{self._number:06}'
+        is_unsafe = rng.random() < 0.6
+        key = rng.choice([*self._keys, *list(self._withdrawn)[-1:]])
+        sent_at = time.monotonic()
+        try:
+            answer = await client.request(
+                'POST' if is_unsafe else 'GET',
+                f'/{"pay" if is_unsafe else "read"}/{request_id}',
+                headers={
+                    'Host': 'races.example',
+                    'Authorization': f'Token {key}',
+                    'X-Lavenderstile-Attempt-Id': request_id,
+                    'X-Lavenderstile-Deadline-Ms': str(DEADLINE_MS),
+                },
+                content=b'x' if is_unsafe else None,
+            )
+            status, body = answer.status_code, answer.content
+        except httpx.HTTPError:
+            status, body = 0, b''
+        outcome = Outcome(
+            request_id, host.name, is_unsafe, status, body, sent_at, key
+        )
+        self._outcomes.append(outcome)
+        self._check_key(outcome)
+        return status != 0
+
+    def _check_key(self, outcome):
+        """A withdrawn key stops working at hosts without a fault."""
+        withdrawn_at = self._withdrawn.get(outcome.key)
+        calm_at = self._disturbed_at.get(outcome.host, 0.0) + STABLE_S
+        if (
+            withdrawn_at is not None
+            and outcome.status == 200
+            and outcome.sent_at > max(withdrawn_at + IN_FORCE_S, calm_at)
+        ):
+            self._problems.append(
+                f'{outcome.request_id}: {outcome.host} took a key that was '
+                f'withdrawn {outcome.sent_at - withdrawn_at:.1f} s before'
+            )
+
+    async def _heal(self):
+        """End all faults."""
+        for proxy in (*self._fleet.proxies.values(), self._fleet.store_proxy):
+            proxy.mode = fault_proxy.Mode.PASS
+        for host in self._fleet.hosts:
+            if host.process.is_running:
+                host.process.resume()
+            else:
+                await host.process.start()
+        for target in self._fleet.targets.values():
+            target.script = []
+
+    async def _check_recovery(self):
+        """Each host serves again in time."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            for host in self._fleet.hosts:
+                if not await self._is_serving(client, host):
+                    self._problems.append(f'{host.name}: does not recover')
+
+    async def _is_serving(self, client, host):
+        end = time.monotonic() + RECOVERY_S
+        while time.monotonic() < end:
+            with contextlib.suppress(httpx.HTTPError):
+                answer = await client.get(
+                    f'{host.caller_url}/read/recovery',
+                    headers={
+                        'Host': 'races.example',
+                        'Authorization': f'Token {self._keys[-1]}',
+                        'X-Lavenderstile-Attempt-Id': 'recovery',
+                    },
+                )
+                if answer.status_code == 200:
+                    return True
+            await asyncio.sleep(0.2)
+        return False
+
+    def _check_runs(self):
+        """Unsafe requests run at most once, and not after a refusal."""
+        runs = collections.Counter()
+        for target in self._fleet.targets.values():
+            for seen in target.seen:
+                if 'authorization' in seen.headers:
+                    self._problems.append(f'{seen.request_id}: key was sent')
+                if seen.headers.get('x-lavenderstile-tenant-name') != 'club':
+                    self._problems.append(f'{seen.request_id}: wrong name')
+            runs.update(target.run_ids)
+        for outcome in self._outcomes:
+            if not outcome.is_unsafe:
+                continue
+            count = runs[outcome.request_id]
+            if count > 1:
+                self._problems.append(f'{outcome.request_id}: ran {count} x')
+            if count and outcome.status in NOT_RUN:
+                self._problems.append(
+                    f'{outcome.request_id}: {outcome.status}, but it ran'
+                )
+
+    def _check_answers(self):
+        """Successes carry the answer to their own request."""
+        for outcome in self._outcomes:
+            expected = f'answer to {outcome.request_id}'.encode()
+            if outcome.status == 200 and outcome.body not in (
+                expected,
+                b'done',
+            ):
+                self._problems.append(
+                    f'{outcome.request_id}: got {outcome.body[:60]!r}'
+                )
+
+
+async def run_seed(seed, duration_s, hosts=4, targets=6):
+    """Run one seed; return its `Soak` with the problems found."""
+    async with edge_fleet.run_edge_fleet(hosts, targets) as fleet:
+        soak = Soak(fleet, seed)
+        await soak.run(duration_s)
+        return soak
+
+
+def main():
+    """Run seeds; the exit status is 1 if any promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, nargs='+', default=[1])
+    parser.add_argument('--duration', type=float, default=20.0)
+    parser.add_argument('--hosts', type=int, default=4)
+    parser.add_argument('--targets', type=int, default=6)
+    options = parser.parse_args()
+    failed = False
+    for seed in options.seeds:
+        soak = asyncio.run(
+            run_seed(seed, options.duration, options.hosts, options.targets)
+        )
+        statuses = collections.Counter(
+            outcome.status for outcome in soak.outcomes
+        )
+        print(f'seed {seed}: {dict(statuses)}', flush=True)
+        for line in soak.problems:
+            print(f'seed {seed}: {line}', flush=True)
+        failed = failed or bool(soak.problems)
+    sys.exit(int(failed))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/test_edge_fleet.py
@@ -0,0 +1,117 @@
+"""Tests of a fleet of real host processes on the platform's protocol."""
+
+import asyncio
+import unittest
+
+import httpx
+
+from emulator import edge_fleet
+from emulator import registry_store
+
+LIMIT_S = 30.0
+
+
+def make_headers(request_id='r1', key='key-1'):
+    """Return the headers of a caller's request."""
+    return {
+        'Host': 'races.example',
+        'Authorization': f'Token {key}',
+        'X-Lavenderstile-Attempt-Id': request_id,
+        'X-Lavenderstile-Deadline-Ms': '3000',
+    }
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the whole path: callers, processes, store and targets."""
+
+    async def asyncSetUp(self):
+        self.fleet = await self.enterAsyncContext(
+            edge_fleet.run_edge_fleet(hosts=3, targets=3)
+        )
+        self.client = await self.enterAsyncContext(
+            httpx.AsyncClient(trust_env=False, timeout=LIMIT_S)
+        )
+
+    async def call(self, host, path='/read/1', **changes):
+        """Send a request through a host."""
+        return await self.client.get(
+            host.caller_url + path, headers=make_headers(**changes)
+        )
+
+    async def wait_until(self, condition):
+        """Wait until an asynchronous condition holds."""
+        async with asyncio.timeout(LIMIT_S):
+            while not await condition():
+                await asyncio.sleep(0.05)
+
+    async def get_state(self, host):
+        """Return the state of a host."""
+        url = f'http://{host.address}:{edge_fleet.ADMIN_PORT}/state'
+        return (await self.client.get(url)).json()
+
+    async def test_all_hosts_serve_and_hear_each_other(self):
+        for host in self.fleet.hosts:
+            self.assertEqual((await self.call(host)).status_code, 200)
+
+        async def hear_all():
+            states = [await self.get_state(host) for host in self.fleet.hosts]
+            return all(state['hosts_heard'] == 3 for state in states)
+
+        await self.wait_until(hear_all)
+
+    async def test_a_change_reaches_all_hosts(self):
+        data = registry_store.describe_configuration(2)
+        data['tenants'][0]['apiKeys'] = ['key-2']
+        self.fleet.store.put('op/config', data)
+
+        async def all_refuse():
+            answers = [await self.call(host) for host in self.fleet.hosts]
+            return all(answer.status_code == 401 for answer in answers)
+
+        await self.wait_until(all_refuse)
+        answer = await self.call(self.fleet.hosts[0], key='key-2')
+        self.assertEqual(answer.status_code, 200)
+
+    async def test_a_stop_cuts_no_request(self):
+        host = self.fleet.hosts[0]
+
+        async def call_until_closed():
+            statuses = []
+            async with asyncio.timeout(LIMIT_S):
+                while True:
+                    try:
+                        answer = await self.call(host)
+                    except httpx.ConnectError:
+                        return statuses
+                    statuses.append(answer.status_code)
+                    await asyncio.sleep(0.01)
+
+        calls = [asyncio.create_task(call_until_closed()) for _ in range(4)]
+        await asyncio.sleep(0.3)
+        self.assertEqual(await host.process.stop(), 0)
+        for statuses in await asyncio.gather(*calls):
+            self.assertGreater(len(statuses), 10)
+            self.assertEqual(set(statuses), {200})
+
+    async def test_a_killed_host_serves_again(self):
+        host = self.fleet.hosts[0]
+        await host.process.kill()
+        await host.process.start()
+        await self.fleet.wait_until_ready(host)
+        self.assertEqual((await self.call(host)).status_code, 200)
+
+    async def test_invalid_settings_end_the_program_with_a_reason(self):
+        host = self.fleet.hosts[0]
+        await host.process.kill()
+        host.settings_path.write_text('[host]\n')
+        await host.process.start()
+        self.assertEqual(await host.process.wait(), 2)
+        self.assertIn('is missing', host.process.log)
+
+    async def test_metrics_are_served(self):
+        host = self.fleet.hosts[0]
+        await self.call(host)
+        url = f'http://{host.address}:{edge_fleet.ADMIN_PORT}/metrics'
+        text = (await self.client.get(url)).text
+        self.assertIn('lavenderstile_edge_requests_total', text)
+        self.assertIn('lavenderstile_edge_request_seconds', text)
