Shorten updates between hosts; announce each answer of the registry; let new connections send during a stop

A stop closed a connection that had just been opened (found by the stop test, once in three runs): a connection now has 0.4 s to send.

--- a/lavenderstile/edge/callers.py
+++ b/lavenderstile/edge/callers.py
@@ -316,9 +316,9 @@
         elif now - self.idle_since > limits.idle_timeout_s:
             self._transport.close()
 
-    def close_if_idle(self):
-        """Close a connection that carries no request."""
-        if self.is_idle:
+    def close_if_idle(self, before):
+        """Close a connection that has carried no request since a time."""
+        if self.is_idle and self.idle_since <= before:
             self._transport.close()
 
 
@@ -395,7 +395,8 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle(self):
-        """Close the connections that carry no request."""
+    def close_idle(self, idle_s=0.0):
+        """Close the connections that carried no request for a time."""
+        before = self._clock.now() - idle_s
         for connection in list(self._connections):
-            connection.close_if_idle()
+            connection.close_if_idle(before)
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -26,6 +26,7 @@
     admitted: dict[str, int]
     sends: dict[str, tuple[int, int, int]]
     contact_at: float
+    is_whole: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,16 +161,22 @@
                 update.admitted,
                 update.sends,
                 now,
+                update.is_whole,
             )
             self._peers[update.address] = peer
             self.learn_contacts({self._domain: [update.address]})
+        if not peer.is_whole:
+            # A count that is missing so far may be of any size.
+            peer.admitted = update.admitted | peer.admitted
+            peer.sends = update.sends | peer.sends
+            peer.is_whole = update.is_whole
         added = _subtract(update.admitted, peer.admitted)
         sent = _subtract_each(update.sends, peer.sends)
         self._count_running(peer.running, -1)
         self._count_running(update.running, 1)
         peer.running = update.running
-        peer.admitted = update.admitted
-        peer.sends = update.sends
+        peer.admitted = peer.admitted | update.admitted
+        peer.sends = peer.sends | update.sends
         peer.contact_at = now - update.contact_age_s
         peer.heard_at = now
         return added, sent
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -36,6 +36,10 @@
 SETTINGS_INTERVAL_S = 2.0
 STOP_POLL_S = 0.05
 
+# A connection that was opened just before the end of a stop gets this long to
+# send its request.
+STOP_IDLE_S = 0.4
+
 
 class Parts:
     """What the tasks of a host share."""
@@ -140,6 +144,7 @@
             self.parts.metrics,
             self._take_directory,
             self._mesh.pass_on,
+            lambda: self.parts.reports.touch(),
         )
         self._mesh.take_news = self._follower.take_news
         handler = handler_module.RequestHandler(self.parts)
@@ -286,7 +291,7 @@
             await asyncio.sleep(STOP_POLL_S)
         self._callers.stop_listening()
         while self._clock.now() < last:
-            self._callers.close_idle()
+            self._callers.close_idle(STOP_IDLE_S)
             if not self._callers.open_count:
                 break
             await asyncio.sleep(STOP_POLL_S)
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -63,6 +63,14 @@
         return taken
 
 
+def _find_changed(counts, told):
+    return {
+        name: count
+        for name, count in counts.items()
+        if told.get(name) != count
+    }
+
+
 def _ignore(*_):
     """Stand in until the mesh runs."""
 
@@ -89,6 +97,8 @@
         self._timer = None
         self._sent_at = 0.0
         self._totals = {}
+        self._told_admitted = {}
+        self._told_sends = {}
         self._crashes = []
         self._is_leaving = False
         self.take_news = _ignore
@@ -137,11 +147,12 @@
 
     async def run(self):
         """Send heartbeats, digests and greetings until cancelled."""
-        greeted_at = digested_at = 0.0
+        greeted_at = digested_at = whole_at = 0.0
         while True:
             now = self._clock.now()
             self._expire(now)
-            if now - self._sent_at >= HEARTBEAT_S:
+            if now - whole_at >= HEARTBEAT_S:
+                whole_at = now
                 self._send_update()
             if now - digested_at >= DIGEST_INTERVAL_S:
                 digested_at = now
@@ -278,10 +289,17 @@
             return
         due_s = self._sent_at + UPDATE_INTERVAL_S - self._clock.now()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(max(0.0, due_s), self._send_update)
+        self._timer = loop.call_later(
+            max(0.0, due_s), self._send_update, False
+        )
 
-    def _make_update(self, news=((), {}), crashes=()):
+    def _make_update(self, news=((), {}), crashes=(), is_whole=True):
         faults, successes = news
+        admitted = self._allowances.admitted
+        sends = self._budgets.own
+        if not is_whole:
+            admitted = _find_changed(admitted, self._told_admitted)
+            sends = _find_changed(sends, self._told_sends)
         return messages.Update(
             self._fleet.address,
             self._fleet.domain,
@@ -290,10 +308,11 @@
             list(faults),
             successes,
             list(crashes),
-            self._allowances.admitted,
-            self._budgets.own,
+            admitted,
+            sends,
             self._directory.revision,
             self._get_contact_age(),
+            is_whole,
             self._is_leaving,
         )
 
@@ -313,14 +332,16 @@
         for address in self._fleet.peers:
             self._send(address, data)
 
-    def _send_update(self):
+    def _send_update(self, is_whole=True):
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._sent_at = self._clock.now()
         crashes = [messages.Crash(*news) for news in self._guard.take_news()]
         self._crashes.extend(crashes)
-        update = self._make_update(self._reports.take(), crashes)
+        update = self._make_update(self._reports.take(), crashes, is_whole)
+        self._told_admitted.update(update.admitted)
+        self._told_sends.update(update.sends)
         data = messages.pack(update)
         for address in self._fleet.peers:
             self._send(address, data)
--- a/lavenderstile/edge/registry.py
+++ b/lavenderstile/edge/registry.py
@@ -35,16 +35,25 @@
 
     `client` has `read_all()` and `watch(revision, wait_s)`, which raise
     `errors.PlatformError` and `HistoryLost`, and `decode_changes(body)`.
-    `coverage` says when this host asks; `pass_on(after, changes)` tells the
-    others.
+    `coverage` says when this host asks. `pass_on(after, changes)` tells the
+    others what changed, `announce()` that the registry answers.
     """
 
     def __init__(
-        self, client, directory, coverage, clock, metrics, deliver, pass_on
+        self,
+        client,
+        directory,
+        coverage,
+        clock,
+        metrics,
+        deliver,
+        pass_on,
+        announce,
     ):
         self._client = client
         self._coverage = coverage
         self._pass_on = pass_on
+        self._announce = announce
         self._directory = directory
         self._clock = clock
         self._metrics = metrics
@@ -105,6 +114,9 @@
         if wait_s and changes.events:
             self._pass_on(after, changes)
         self._apply(changes)
+        if wait_s:
+            # Peers ask themselves when they hear of no answer for a while.
+            self._announce()
 
     def take_news(self, after, body):
         """Take changes that a peer read."""
--- a/tests/edge/test_callers.py
+++ b/tests/edge/test_callers.py
@@ -173,6 +173,14 @@
             self.assertEqual((status, headers['connection']), (200, 'close'))
             self.assertEqual(await caller.read_to_end(), b'')
 
+    async def test_a_connection_that_was_just_opened_may_send(self):
+        """Guards against a stop that cuts a request on its way."""
+        await self.add_target()
+        async with self.connect() as caller:
+            await self.wait_until(lambda: self.server.open_count)
+            self.server.close_idle(5.0)
+            self.assertEqual((await caller.request('/read/1'))[0], 200)
+
     async def test_only_idle_connections_are_closed(self):
         target = await self.add_target(standin.hang)
         async with self.connect() as busy, self.connect() as idle:
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -28,6 +28,7 @@
         self.directory = directory.Directory()
         self.coverage = coverage.Coverage(self.view)
         self.passed_on = []
+        self.announced = []
         self.clock = clocks.Clock()
         host, _, port = self.address.rpartition(':')
         client = store_client.StoreClient((host, int(port)), self.clock)
@@ -39,6 +40,7 @@
             metrics.EdgeMetrics(),
             lambda: None,
             lambda after, changes: self.passed_on.append((after, changes)),
+            lambda: self.announced.append(self.clock.now()),
         )
 
     def put_target(self, instance='i-1', **changes):
@@ -181,6 +183,7 @@
             metrics.EdgeMetrics(),
             lambda: None,
             lambda after, changes: None,
+            lambda: None,
         )
         follower.take_news(after, changes.body)
         self.assertEqual(other.targets, {}, 'not synchronized yet')
@@ -188,6 +191,17 @@
         follower.take_news(after, changes.body)
         self.assertIn('i-1', other.targets)
 
+    async def test_each_answer_is_announced(self):
+        """Guards against peers that ask because the news are old.
+
+        On the first quiet days hosts made 780 calls instead of about 300.
+        """
+        self.put_configuration(3)
+        self.start()
+        await self.wait_until(lambda: len(self.announced) >= 2)
+        gaps = self.announced[1] - self.announced[0]
+        self.assertLess(gaps, coverage.CONTACT_LIMIT_S)
+
     async def test_news_after_a_gap_are_not_applied(self):
         """Guards against a host that skips what it has missed."""
         self.put_configuration(3)
