--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -8,6 +8,7 @@
 
 from emulator import fleet as fleet_module
 from emulator import tickets
+from tests import turns
 
 # Overall limit of a wait; what has to happen takes seconds.
 WAIT_LIMIT_S = 60.0
@@ -32,6 +33,7 @@
     @classmethod
     def setUpClass(cls):
         """Start the fleet and wait until each host answers."""
+        cls.enterClassContext(turns.take_turn())
         cls.runner = asyncio.Runner()
         cls.context = fleet_module.run_fleet(cls.hosts, cls.targets)
         cls.addClassCleanup(cls.runner.close)
@@ -75,6 +77,10 @@
             method, host.caller_url + path, headers=headers, **options
         )
 
+    def assert_all_answered(self, answers):
+        """Fail with the bodies of the answers whose status is not 200."""
+        self.assertEqual([a.text for a in answers if a.status_code != 200], [])
+
     @classmethod
     async def wait_for(cls, condition):
         """Wait until an asynchronous condition holds."""
--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -7,6 +7,7 @@
 
 from emulator import edge_fleet
 from emulator import registry_store
+from tests import turns
 
 LIMIT_S = 30.0
 
@@ -25,6 +26,7 @@
     """Guards the whole path: callers, processes, store and targets."""
 
     async def asyncSetUp(self):
+        self.enterContext(turns.take_turn())
         self.fleet = await self.enterAsyncContext(
             edge_fleet.run_edge_fleet(hosts=3, targets=3)
         )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
 from emulator import fleet
 from emulator import target
 from tests import cases
+from tests import turns
 
 
 class CallersTest(cases.StandinCase):
@@ -59,6 +60,9 @@
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Guards against processes that outlive the test that started them."""
 
+    def setUp(self):
+        self.enterContext(turns.take_turn())
+
     async def test_starts_controls_and_ends_the_standins(self):
         async with fleet.run_fleet(hosts=1, targets=1) as running:
             server = running.targets[0]
--- a/tests/test_serving_fleet.py
+++ b/tests/test_serving_fleet.py
@@ -275,6 +275,12 @@
         """The connection was opened, and the request queued, before."""
 
         async def run():
+            # The requests in the queue are not to meet their own deadline
+            # on a busy machine before the change is in force.
+            longer = tickets.format_service(
+                'ledger', self.fleet.targets, timeout_ms=60_000
+            )
+            await self.wait_in_force(await self.publish(longer))
             slots = 3 * len(self.fleet.targets)
             busy = [
                 asyncio.create_task(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import unittest
 
 from emulator import soak
+from tests import turns
 
 # Length of a run in CI; runs by hand take longer and more seeds.
 DURATION_S = 6.0
@@ -17,7 +18,8 @@
 
     def run_seed(self, seed):
         """Run a seed; fail on a broken promise."""
-        run = asyncio.run(soak.run_seed(seed, DURATION_S))
+        with turns.take_turn():
+            run = asyncio.run(soak.run_seed(seed, DURATION_S))
         self.assertEqual(run.problems, [])
         served = sum(outcome.status == 200 for outcome in run.outcomes)
         self.assertGreater(served, 20)
