Try doubtful targets with requests that can be sent again

In domain b ten of 17 failed, so the floor of 0.7 kept five of them in use, each with an order every 1.4 s, though a hundred requests a second could have been sent again. Ruled out: slow news of faults (peers avoid such a target at the next send); the first failure at each target (about one in four of these). Change: a target counts as unused after 1.0 s for requests that can be sent again and after 1.5 s for others.

--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -22,9 +22,11 @@
 # A new connection costs the target a handshake.
 CONNECTING_S = 0.03
 
-# Targets that are not avoided are kept in use: one that had no request for
-# this long is preferred by this much. They count as unused after two seconds.
-UNUSED_S = 1.4
+# Targets are kept in use: one that had no request for this long is preferred
+# by this much. They count as unused after two seconds. Requests that can be
+# sent again come first, because a target that still fails loses the others.
+UNUSED_S = 1.5
+REPEATABLE_UNUSED_S = 1.0
 KEPT_IN_USE_S = 1.0
 
 # Hosts that may send to a cold target; each has this part of its rate.
@@ -141,7 +143,7 @@
             for instance in known.keys() - instances:
                 del known[instance]
 
-    def _find_unused(self, service, now):
+    def _find_unused(self, service, is_repeatable, now):
         """Return the targets that are to be put to use.
 
         A service whose requests fail may not be left with few of its sound
@@ -163,7 +165,8 @@
             for each in own[least:]
             if not self._health.is_avoided(each, now)
         ]
-        oldest = now - UNUSED_S
+        limit_s = REPEATABLE_UNUSED_S if is_repeatable else UNUSED_S
+        oldest = now - limit_s
         return frozenset(
             each for each in kept if self._used_at.get(each, 0.0) < oldest
         )
@@ -217,7 +220,7 @@
         best_score = None
         fullest_s = None
         cold_rate = self._get_cold_rate(service)
-        unused = self._find_unused(service, now)
+        unused = self._find_unused(service, is_repeatable, now)
         for known in self._directory.list_targets(service):
             target = known.target
             instance = target.instance
--- a/tests/edge/test_balancing.py
+++ b/tests/edge/test_balancing.py
@@ -111,6 +111,31 @@
             bench.outcomes.record('ledger', 10, 1, now)
         self.assertLess(failures, 15)
 
+    def test_requests_that_can_be_sent_again_try_doubtful_targets(self):
+        """Load pattern: half of the targets fail all, few requests repeat.
+
+        Guards against payments that are lost to keep such targets in use.
+        """
+        bench = builders.Bench(make_targets(12))
+        failing = {f'i-{n}' for n in range(6)}
+        lost = 0
+        for turn in range(1000):
+            bench.clock.advance(0.02)
+            now = bench.clock.now()
+            is_repeatable = turn % 4 == 0
+            choice = bench.choose(is_repeatable=is_repeatable)
+            instance = choice.known.target.instance
+            bench.balancer.note_used([instance], now)
+            if instance in failing:
+                bench.health.record_fault(
+                    instance, health.FaultKind.ERROR, now
+                )
+                lost += not is_repeatable
+            else:
+                bench.prove(instance)
+            bench.outcomes.record('ledger', 10, 1, now)
+        self.assertLess(lost, 10)
+
 
 class DomainTest(unittest.TestCase):
     """Guards against bytes between domains and domains without targets."""
