Let news of proven targets with room wait in large domains

Each host tells 25 others of both ends of each request, and all counts twice a second; this grows with the square of a domain's hosts. Change: beyond 16 peers, news that are not urgent wait 10 ms for each further peer, 0.2 s at most; whole updates come less often. Urgent are faults and requests at targets that are in doubt or have half of their slots taken.

--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -29,6 +29,14 @@
 REPEATABLE_UNUSED_S = 1.0
 KEPT_IN_USE_S = 1.0
 
+# Share of a target's slots from which on each request there matters for what
+# other hosts choose.
+TIGHT_SHARE = 0.5
+
+# A target is in doubt above this belief, about two seconds after its last
+# answer.
+DOUBT_BELIEF = 0.1
+
 # Hosts that may send to a cold target; each has this part of its rate.
 COLD_OWNERS = 2
 
@@ -208,6 +216,16 @@
         own = self._own_running.get(instance, 0)
         return own + self._fleet.get_running(instance)
 
+    def is_critical(self, known, now):
+        """Return whether other hosts should know at once what happens there.
+
+        They would send to a target without free slots, or try one in doubt
+        themselves.
+        """
+        instance = known.target.instance
+        tight = self.get_running(instance) > known.target.slots * TIGHT_SHARE
+        return tight or self._health.get_belief(instance, now) > DOUBT_BELIEF
+
     def choose(
         self, service, now, kilobytes, is_repeatable, excluded, has_connection
     ):
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -175,8 +175,8 @@
         self._count_running(peer.running, -1)
         self._count_running(update.running, 1)
         peer.running = update.running
-        peer.admitted = peer.admitted | update.admitted
-        peer.sends = peer.sends | update.sends
+        peer.admitted.update(update.admitted)
+        peer.sends.update(update.sends)
         peer.contact_at = now - update.contact_age_s
         peer.heard_at = now
         return added, sent
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -363,15 +363,17 @@
             f' +{(now - call.request.arrived_at) * 1000:.0f}ms'
         )
         self._balancer.begin(known, now)
-        self._reports.touch()
+        is_urgent = self._balancer.is_critical(known, now)
+        self._reports.touch(is_urgent=is_urgent)
         try:
             outcome = await self._exchange(call, known)
         except BaseException:
             call.sends[number] += ' cancelled'
             raise
         finally:
+            is_urgent |= self._balancer.is_critical(known, now)
             self._balancer.end(known)
-            self._reports.touch()
+            self._reports.touch(is_urgent=is_urgent)
         call.sends[number] += f' {calls.describe(outcome)}'
         self._metrics.count_send(call.service, type(outcome).__name__.lower())
         return outcome
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -21,6 +21,13 @@
 
 HEARTBEAT_S = 0.5
 
+# Messages grow with the square of a domain's hosts. Beyond this many peers
+# whole updates are sent less often, and news that can wait do so for longer
+# with each peer.
+FREQUENT_PEERS = 16
+DELAY_S_PER_PEER = 0.01
+MAX_DELAY_S = 0.2
+
 DIGEST_INTERVAL_S = 0.5
 
 # Hosts of each other domain that get a digest; two, so that one of them may
@@ -73,7 +80,7 @@
     }
 
 
-def _ignore(*_):
+def _ignore(*_, **__):
     """Stand in until the mesh runs."""
 
 
@@ -154,9 +161,11 @@
         while True:
             now = self._clock.now()
             self._expire(now)
-            if now - whole_at >= HEARTBEAT_S:
+            if now - whole_at >= self._get_whole_interval():
                 whole_at = now
                 self._send_update()
+            elif now - self._sent_at >= HEARTBEAT_S:
+                self._send_update(is_whole=False)
             if now - digested_at >= DIGEST_INTERVAL_S:
                 digested_at = now
                 self._send_digests(now)
@@ -165,6 +174,14 @@
                 self._greet()
             await asyncio.sleep(HEARTBEAT_S * (0.45 + random.random() * 0.1))
 
+    def _get_whole_interval(self):
+        return HEARTBEAT_S * max(1.0, len(self._fleet.peers) / FREQUENT_PEERS)
+
+    def _get_delay(self):
+        """Return how long news that are not urgent wait for others."""
+        extra = max(0, len(self._fleet.peers) - FREQUENT_PEERS)
+        return min(extra * DELAY_S_PER_PEER, MAX_DELAY_S)
+
     def _get_greeting_interval(self):
         return LATE_GREETING_S if self._fleet.peers else GREETING_S
 
@@ -287,14 +304,19 @@
             total = self._totals.get(workspace, 0)
             self._totals[workspace] = total + count
 
-    def _plan_update(self):
-        if self._timer is not None or self._transport is None:
+    def _plan_update(self, is_urgent=True):
+        if self._transport is None:
             return
-        due_s = self._sent_at + UPDATE_INTERVAL_S - self._clock.now()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(
-            max(0.0, due_s), self._send_update, False
-        )
+        wait_s = self._sent_at + UPDATE_INTERVAL_S - self._clock.now()
+        if not is_urgent:
+            wait_s = max(wait_s, self._get_delay())
+        due = loop.time() + max(0.0, wait_s)
+        if self._timer is not None:
+            if self._timer.when() <= due:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due, self._send_update, False)
 
     def _make_update(self, news=((), {}), crashes=(), is_whole=True):
         faults, successes = news
--- a/tests/edge/test_balancing.py
+++ b/tests/edge/test_balancing.py
@@ -32,6 +32,28 @@
         bench.fleet.take_update(update, 0.0)
         self.assertEqual(set(bench.send(3)), {'i-1'})
 
+    def test_a_target_is_critical_from_half_of_its_slots_on(self):
+        bench = builders.Bench(make_targets(1, slots=4))
+        bench.prove('i-0')
+        known = bench.directory.targets['i-0']
+        now = bench.clock.now()
+        for expected in (False, False, True, True):
+            bench.balancer.begin(known, now)
+            self.assertIs(bench.balancer.is_critical(known, now), expected)
+
+    def test_a_target_in_doubt_is_critical(self):
+        """Guards against hosts that each try the same failing target.
+
+        With late news of such targets, orders failed twice as often.
+        """
+        bench = builders.Bench(make_targets(1))
+        known = bench.directory.targets['i-0']
+        self.assertTrue(bench.balancer.is_critical(known, bench.clock.now()))
+        bench.prove('i-0')
+        self.assertFalse(bench.balancer.is_critical(known, bench.clock.now()))
+        bench.clock.advance(4.0)
+        self.assertTrue(bench.balancer.is_critical(known, bench.clock.now()))
+
     def test_a_full_service_is_told_from_an_empty_one(self):
         bench = builders.Bench(make_targets(1))
         self.assertEqual(len(bench.send(50)), 7)
--- /dev/null
+++ b/tests/edge/test_mesh.py
@@ -0,0 +1,91 @@
+"""Tests of when a host tells its domain what it does."""
+
+import asyncio
+import types
+import unittest
+
+from lavenderstile import clocks
+from lavenderstile.edge import allowances
+from lavenderstile.edge import fleet
+from lavenderstile.edge import mesh
+from lavenderstile.edge import messages
+from tests.edge import builders
+
+
+class SentDatagrams:
+    """Transport that keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def sendto(self, data, address):
+        self.sent.append((messages.unpack(data), address[0]))
+
+
+def make_mesh(peers):
+    """Return a mesh with peers in its domain, and what it sends."""
+    bench = builders.Bench([])
+    view = fleet.Fleet('10.1.0.1', 'a', 1)
+    for number in range(peers):
+        view.take_update(builders.make_update(f'10.1.1.{number}'), 0.0)
+    parts = types.SimpleNamespace(
+        clock=clocks.Clock(),
+        fleet=view,
+        allowances=types.SimpleNamespace(admitted={'shop': 1}),
+        balancer=bench.balancer,
+        budgets=types.SimpleNamespace(own={}),
+        health=bench.health,
+        guard=types.SimpleNamespace(take_news=list),
+        coverage=types.SimpleNamespace(contact_at=0.0),
+        directory=bench.directory,
+        outcomes=bench.outcomes,
+        reports=mesh.Reports(),
+        metrics=None,
+    )
+    settings = types.SimpleNamespace(peer_port=7, seeds=())
+    found = mesh.Mesh(parts, settings, 1)
+    transport = SentDatagrams()
+    found.connection_made(transport)
+    return found, transport.sent
+
+
+class DelayTest(unittest.IsolatedAsyncioTestCase):
+    """Load pattern: large domains, each host with a few requests a second.
+
+    Guards against messages that grow with the square of the hosts: a day of
+    106 hosts took more processor time than the bench allows.
+    """
+
+    async def plan(self, peers, *urgencies):
+        """Report several events; return the messages after a while."""
+        found, sent = make_mesh(peers)
+        for is_urgent in urgencies:
+            found._plan_update(is_urgent=is_urgent)
+            await asyncio.sleep(0)
+        await asyncio.sleep(2 * mesh.UPDATE_INTERVAL_S)
+        return sent
+
+    async def test_a_small_domain_learns_of_each_request_at_once(self):
+        sent = await self.plan(mesh.FREQUENT_PEERS, False)
+        self.assertEqual(len(sent), mesh.FREQUENT_PEERS)
+
+    async def test_a_large_domain_waits_for_what_is_not_urgent(self):
+        sent = await self.plan(2 * mesh.FREQUENT_PEERS, False, False)
+        self.assertEqual(sent, [])
+
+    async def test_urgent_news_take_waiting_ones_along(self):
+        sent = await self.plan(2 * mesh.FREQUENT_PEERS, False, True)
+        self.assertEqual(len(sent), 2 * mesh.FREQUENT_PEERS)
+
+    async def test_news_that_wait_are_sent_in_the_end(self):
+        found, sent = make_mesh(2 * mesh.FREQUENT_PEERS)
+        found._plan_update(is_urgent=False)
+        async with asyncio.timeout(10.0):
+            while not sent:
+                await asyncio.sleep(0.01)
+
+    async def test_whole_updates_are_rarer_in_a_large_domain(self):
+        found, _ = make_mesh(3 * mesh.FREQUENT_PEERS)
+        interval_s = found._get_whole_interval()
+        self.assertAlmostEqual(interval_s, 3 * mesh.HEARTBEAT_S)
+        self.assertLess(interval_s, allowances.MAX_DEBT_S)
