Log the id and the inputs of requests refused on admission

Ruled out: callers without an id (the same callers' other requests had one). Change: the id is read from the headers if no call was made, and rate_refused has the allowance's level, rate, burst and the fleet's share; explain log shows it. Before: the new test fails with ids None. After: it passes.

--- a/lavenderstile/edge/allowances.py
+++ b/lavenderstile/edge/allowances.py
@@ -112,6 +112,16 @@
             self._admitted[workspace] = self._admitted.get(workspace, 0) + 1
         return wait_s
 
+    def describe(self, workspace):
+        """Return what decides on a workspace's requests, for the log."""
+        rate, burst = self._limits[workspace]
+        return {
+            'level': round(self._buckets[workspace].level, 2),
+            'rate': rate,
+            'burst': burst,
+            'share': round(self._share, 3),
+        }
+
     def record(self, added, now):
         """Count what other hosts admitted."""
         for workspace, count in added.items():
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -126,9 +126,14 @@
             self._outcomes.record(call.service, 1, failed, self._clock.now())
             if failed:
                 self._budgets.record_failure(call.service)
+        request_id = (
+            self._dialect.read_request(request.headers).request_id
+            if call is None
+            else call.request_id
+        )
         eliot.log_message(
             'request',
-            id=call and call.request_id,
+            id=request_id,
             path=request.path,
             service=call and call.service,
             workspace=call and call.workspace and call.workspace.name,
@@ -172,6 +177,12 @@
         if workspace is not None:
             wait_s = self._allowances.take(workspace.name, self._clock.now())
             if wait_s:
+                eliot.log_message(
+                    'rate_refused',
+                    id=facts.request_id,
+                    workspace=workspace.name,
+                    **self._allowances.describe(workspace.name),
+                )
                 refuse(
                     Reason.RATE_EXCEEDED,
                     f'workspace {workspace.name} is over its rate',
--- a/lavenderstile/edge/log_search.py
+++ b/lavenderstile/edge/log_search.py
@@ -11,6 +11,7 @@
 MAX_RELATED = 10
 
 _TARGET_EVENTS = frozenset(('target_avoided', 'target_unreachable'))
+_REQUEST_EVENTS = frozenset(('rate_refused',))
 _HOST_EVENTS = frozenset(
     (
         'registry_lost',
@@ -103,10 +104,15 @@
         is_about_target = (
             kind in _TARGET_EVENTS and message.get('target') in targets
         )
+        is_about_request = (
+            kind in _REQUEST_EVENTS
+            and message.get('id') == request['id']
+            and message.get('host') == request['host']
+        )
         is_about_host = (
             kind in _HOST_EVENTS and message.get('host') == request['host']
         )
-        if is_about_target or is_about_host:
+        if is_about_request or is_about_target or is_about_host:
             related.append(message)
     related.sort(key=lambda each: abs(each['timestamp'] - at))
     return tuple(
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import eliot
+
 from emulator import registered_target as standin
 from emulator import registry_store
 from lavenderstile.edge import directory
@@ -208,6 +210,39 @@
         self.assertIn(429, statuses)
         self.assertEqual(len(target.seen), statuses.count(200))
 
+    async def test_a_refusal_is_logged_with_its_id_and_inputs(self):
+        """Guards against a refusal that an engineer cannot find by its id."""
+        await self.add_target()
+        data = registry_store.describe_configuration(2)
+        data['tenants'][0].update(ratePerS=1, burst=1)
+        self.configure(data)
+        logged = []
+        eliot.add_destinations(logged.append)
+        self.addCleanup(eliot.remove_destination, logged.append)
+        # A first destination gets what was logged before it.
+        logged.clear()
+        name = 'X-Lavenderstile-Attempt-Id'
+        for number in range(4):
+            await self.request('/read/1', more=[(name, f'id-{number}')])
+        by_id = {
+            each['id']: each
+            for each in logged
+            if each['message_type'] == 'request'
+        }
+        self.assertEqual(sorted(by_id), [f'id-{n}' for n in range(4)])
+        refused = {k for k, v in by_id.items() if v['status'] == 429}
+        decided = {
+            each['id']: each
+            for each in logged
+            if each['message_type'] == 'rate_refused'
+        }
+        self.assertTrue(refused)
+        self.assertEqual(set(decided), refused)
+        for each in decided.values():
+            self.assertEqual(each['workspace'], 'club')
+            self.assertEqual((each['rate'], each['burst']), (1.0, 1.0))
+            self.assertLess(each['level'], 1.0)
+
     async def test_a_service_without_targets_refuses_early(self):
         began = time.monotonic()
         status, headers, _ = await self.request('/pay/1', b'x')
--- a/tests/test_cli_logs.py
+++ b/tests/test_cli_logs.py
@@ -53,6 +53,22 @@
         self.assertIn('connection lost', first)
         self.assertEqual(len(related), 2)
 
+    def test_what_decided_on_a_refusal_is_shown(self):
+        fields = {'host': 'front-1', 'id': 'abc'}
+        log = make_line(message_type='rate_refused', level=0.2, **fields)
+        log += make_line(
+            message_type='request',
+            status=429,
+            took_ms=1,
+            outcome='rate_exceeded: workspace club is over its rate',
+            **fields,
+        )
+        log += make_line(message_type='rate_refused', host='front-1', id='x')
+        code, value = self.run_json('explain', 'log', 'abc', stdin=log)
+        self.assertEqual(code, 0)
+        levels = [each.get('level') for each in value[0]['related']]
+        self.assertEqual(levels, [0.2])
+
     def test_files_are_read(self):
         path = self.write('hosts.log', LOG)
         code, value = self.run_json('explain', 'log', 'abc', path)
