Give a new process only its part of the retry slack

A process that has just started knows none of the domain's sends and had the whole slack. Ruled out: updates that arrive late (found at a bound of 0.1 s, not at the mesh's 0.012 s); the walks' own sharing of decoded updates (mended). Change: the slack of a process grows from its own part to the whole over one window. The walks are tests: six weakened variants must be found.

--- a/lavenderstile/edge/budgets.py
+++ b/lavenderstile/edge/budgets.py
@@ -45,11 +45,20 @@
 class RetryBudget:
     """Budget of one service; counts are of the whole failure domain."""
 
-    __slots__ = ('_ratio', '_requests', '_retries', '_slack')
-
-    def __init__(self, ratio, slack, window_s):
+    __slots__ = (
+        '_ratio',
+        '_requests',
+        '_retries',
+        '_slack',
+        '_started_at',
+        '_window_s',
+    )
+
+    def __init__(self, ratio, slack, window_s, started_at):
         self._ratio = ratio * USED_SHARE
         self._slack = slack * USED_SHARE
+        self._window_s = window_s
+        self._started_at = started_at
         self._requests = WindowCount(window_s)
         self._retries = WindowCount(window_s)
 
@@ -60,22 +69,29 @@
         if retries:
             self._retries.add(retries, now)
 
-    def has_room(self, now, part):
+    def has_room(self, now, part, hosts):
         """Return whether one more send is allowed.
 
-        `part` is the domain's part of the fleet.
+        `part` is the domain's part of the fleet, `hosts` the number of its
+        hosts. A process that has run for less than a window does not know
+        what was sent before it started; it has only its own part of the
+        slack at first.
         """
-        allowed = self._requests.get(now) * self._ratio + self._slack * part
+        known = min(1.0, (now - self._started_at) / self._window_s)
+        known = max(known, 1 / hosts)
+        slack = self._slack * part * known
+        allowed = self._requests.get(now) * self._ratio + slack
         return self._retries.get(now) + 1 <= allowed
 
 
 class Budgets:
     """The retry budgets by service, and what this host has used."""
 
-    __slots__ = ('_budgets', '_limits', '_own')
+    __slots__ = ('_budgets', '_limits', '_own', '_started_at')
 
-    def __init__(self, limits):
+    def __init__(self, limits, started_at):
         self._limits = limits
+        self._started_at = started_at
         self._budgets = {}
         self._own = {}
 
@@ -91,6 +107,7 @@
                 self._limits.retry_ratio,
                 self._limits.retry_slack,
                 self._limits.retry_window_s,
+                self._started_at,
             )
         return budget
 
@@ -111,10 +128,10 @@
         """Count a request of this host that failed."""
         self._add_own(service, 0, 0, 1)
 
-    def take(self, service, now, part):
+    def take(self, service, now, part, hosts):
         """Use one further send; return whether the budget allows it."""
         budget = self._get(service)
-        if not budget.has_room(now, part):
+        if not budget.has_room(now, part, hosts):
             return False
         self._add_own(service, 0, 1, 0)
         budget.record(0, 1, now)
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -268,7 +268,8 @@
         if call.tries >= call.route.max_targets:
             return False
         part = self._fleet.get_domain_part(now)
-        if not self._budgets.take(call.service, now, part):
+        hosts = len(self._fleet.members)
+        if not self._budgets.take(call.service, now, part, hosts):
             self._metrics.count_budget(call.service)
             return False
         return True
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -81,7 +81,7 @@
             self.outcomes,
             settings.limits.floor_share,
         )
-        self.budgets = budgets_module.Budgets(settings.limits)
+        self.budgets = budgets_module.Budgets(settings.limits, clock.now())
         self.pools = target_pools.TargetPools(clock)
         self.guard = crash_guard.CrashGuard()
         self.reports = mesh_module.Reports()
--- /dev/null
+++ b/tests/edge/model_check.py
@@ -0,0 +1,390 @@
+"""Random walks over the decisions that hosts share, with faults between them.
+
+    python -m tests.edge.model_check --steps 1000000 --seed 1
+
+Hosts of one failure domain admit requests, send some of them again and send
+to a cold target; their updates are late, get lost, are cut one way, and
+hosts pause and restart. After each step the promises are checked against
+what a caller or a target would count. Each walk prints its seed, so that
+a broken promise can be replayed.
+"""
+
+import argparse
+import collections
+import heapq
+import random
+import sys
+
+from lavenderstile.edge import allowances
+from lavenderstile.edge import balancing
+from lavenderstile.edge import budgets
+from lavenderstile.edge import directory
+from lavenderstile.edge import fleet
+from lavenderstile.edge import mesh
+from lavenderstile.edge import messages
+from lavenderstile.edge import models
+from lavenderstile.edge import settings
+from tests.edge import builders
+
+HOSTS = 6
+WALK_STEPS = 5_000
+
+# Bounds of the users' platform: a workspace's requests in five seconds, sends
+# beyond the first in ten, and those to a cold target in one.
+RATE, BURST = 40.0, 20.0
+QUOTA_WINDOW_S, QUOTA_OVERAGE, QUOTA_SLACK = 5.0, 0.25, 20
+BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S = 0.2, 60, 10.0
+COLD_RATE, COLD_OVERAGE, COLD_SLACK = 20.0, 1.5, 8
+
+# Hosts tell each other of a request within `mesh.UPDATE_INTERVAL_S` and the
+# time on a link of the domain, or the datagram is lost.
+MAX_DELAY_S = 0.02
+LOSS = 0.02
+UPDATE_S = mesh.UPDATE_INTERVAL_S
+EXPIRE_S = 0.25
+
+MAX_PAUSE_S = 4.0
+MAX_CUT_S = 4.0
+
+COLD = builders.make_target('i-cold', cold_left_s=1e6)
+
+
+class BrokenPromise(Exception):
+    """A walk found a state that must not be."""
+
+
+class SlidingCount:
+    """Events of the last seconds."""
+
+    def __init__(self, window_s):
+        self._window_s = window_s
+        self._times = collections.deque()
+
+    def add(self, now):
+        """Add an event."""
+        self._times.append(now)
+
+    def get(self, now):
+        """Return the events of the window that ends now."""
+        while self._times and self._times[0] <= now - self._window_s:
+            self._times.popleft()
+        return len(self._times)
+
+
+class ModelHost:
+    """One process: the real decision objects of a host."""
+
+    def __init__(self, number, started_ms, now):
+        self.address = f'10.1.0.{number + 1}'
+        self.started_ms = started_ms
+        self.fleet = fleet.Fleet(self.address, 'a', started_ms)
+        self.allowances = allowances.Allowances()
+        self.allowances.configure(
+            [models.Workspace('club', ('key',), 0, RATE, BURST)], now
+        )
+        self.budgets = budgets.Budgets(
+            settings.FleetLimits(
+                retry_ratio=BUDGET_RATIO,
+                retry_slack=BUDGET_SLACK,
+                retry_window_s=BUDGET_WINDOW_S,
+            ),
+            now,
+        )
+        self.gate = balancing.ColdGate(self.fleet)
+        self.paused_until = 0.0
+        self.inbox = []
+
+    def make_update(self):
+        """Return a whole update."""
+        return messages.Update(
+            self.address,
+            'a',
+            self.started_ms,
+            {},
+            [],
+            {},
+            [],
+            dict(self.allowances.admitted),
+            dict(self.budgets.own),
+            1,
+            0.0,
+        )
+
+    def take(self, update, now):
+        """Take a peer's update as the mesh does."""
+        added, sent = self.fleet.take_update(update, now)
+        for service, (requests, retries, _) in sent.items():
+            self.budgets.record_peer(service, requests, retries, now)
+        self.allowances.record(added, now)
+
+    def expire(self, now):
+        """Forget silent peers and take the share that is left."""
+        self.fleet.expire(now)
+        heard = self.fleet.count_heard(now)
+        self.allowances.set_share(heard, self.fleet.get_size(now))
+
+
+class FleetWalk:
+    """Hosts, the datagrams between them, and what callers and targets see."""
+
+    def __init__(self, seed):
+        self._random = random.Random(seed)
+        self.now = 0.0
+        self._started = 1
+        self.hosts = [ModelHost(n, 1, 0.0) for n in range(HOSTS)]
+        self._flying = []
+        self._cuts = {}
+        self._number = 0
+        self._due = 0.0
+        self._due_expire = 0.0
+        self.admitted = SlidingCount(QUOTA_WINDOW_S)
+        self.requests = SlidingCount(2 * BUDGET_WINDOW_S)
+        self.retries = SlidingCount(BUDGET_WINDOW_S)
+        self.cold = SlidingCount(1.0)
+        self._known = directory.KnownTarget(COLD, 0.0, 1e9)
+        for _ in range(4):
+            self.tell()
+            self.now += 2 * MAX_DELAY_S
+            self.deliver()
+        for host in self.hosts:
+            host.expire(self.now)
+
+    def step(self):
+        """Let one thing happen, and check the promises."""
+        self.now += self._random.expovariate(200.0)
+        self.deliver()
+        if self.now >= self._due:
+            self._due = self.now + UPDATE_S
+            self.tell()
+        if self.now >= self._due_expire:
+            self._due_expire = self.now + EXPIRE_S
+            for host in self.list_running():
+                host.expire(self.now)
+        chance = self._random.random()
+        if chance < 0.0005:
+            self.restart()
+        elif chance < 0.001:
+            self.pause()
+        elif chance < 0.002:
+            self.cut()
+        else:
+            self.request()
+        self.check()
+
+    def list_running(self):
+        """Return the hosts that are not paused."""
+        return [h for h in self.hosts if h.paused_until <= self.now]
+
+    def request(self):
+        """Let a host take a request, and perhaps send it again."""
+        running = self.list_running()
+        if not running:
+            return
+        host = self._random.choice(running)
+        if self._random.random() < 0.5:
+            if not host.allowances.take('club', self.now):
+                self.admitted.add(self.now)
+            return
+        host.budgets.record_request('ledger', self.now)
+        self.requests.add(self.now)
+        part = host.fleet.get_domain_part(self.now)
+        hosts = len(host.fleet.members)
+        if host.budgets.take('ledger', self.now, part, hosts):
+            self.retries.add(self.now)
+        if host.gate.may_send(self._known, COLD_RATE, self.now):
+            host.gate.record(self._known, self.now)
+            self.cold.add(self.now)
+
+    def tell(self):
+        """Send each running host's update to the others."""
+        for host in self.list_running():
+            data = messages.pack(host.make_update())
+            for number, other in enumerate(self.hosts):
+                if other is host or self._random.random() < LOSS:
+                    continue
+                if self._cuts.get((host.address, other.address), 0) > self.now:
+                    continue
+                self._number += 1
+                at = self.now + self._random.random() * MAX_DELAY_S
+                heapq.heappush(self._flying, (at, self._number, number, data))
+
+    def deliver(self):
+        """Deliver what has arrived; paused hosts get it when they wake."""
+        while self._flying and self._flying[0][0] <= self.now:
+            _, _, number, data = heapq.heappop(self._flying)
+            self.hosts[number].inbox.append(messages.unpack(data))
+        for host in self.list_running():
+            inbox, host.inbox = host.inbox, []
+            for update in inbox:
+                host.take(update, self.now)
+
+    def restart(self):
+        """Replace a process; the new one knows nothing."""
+        number = self._random.randrange(HOSTS)
+        self._started += 1
+        self.hosts[number] = ModelHost(number, self._started, self.now)
+
+    def pause(self):
+        """Stop a process for a while."""
+        host = self._random.choice(self.hosts)
+        host.paused_until = self.now + self._random.random() * MAX_PAUSE_S
+
+    def cut(self):
+        """Lose all datagrams from one host to another for a while."""
+        source, target = self._random.sample(self.hosts, 2)
+        until = self.now + self._random.random() * MAX_CUT_S
+        self._cuts[source.address, target.address] = until
+
+    def check(self):
+        """Raise `BrokenPromise` if more was done than is allowed."""
+        limit = RATE * QUOTA_WINDOW_S + BURST
+        limit = limit * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+        count = self.admitted.get(self.now)
+        if count > limit:
+            raise BrokenPromise(f'{count} admitted, {limit:.0f} allowed')
+        limit = self.requests.get(self.now) * BUDGET_RATIO + BUDGET_SLACK
+        count = self.retries.get(self.now)
+        if count > limit:
+            raise BrokenPromise(f'{count} sent again, {limit:.0f} allowed')
+        limit = COLD_RATE * COLD_OVERAGE + COLD_SLACK
+        count = self.cold.get(self.now)
+        if count > limit:
+            raise BrokenPromise(f'{count} to a cold target, {limit:.0f}')
+
+
+class DirectoryWalk:
+    """A directory that gets the registry's changes in any order."""
+
+    def __init__(self, seed):
+        self._random = random.Random(seed)
+        self.now = 0.0
+        self.directory = directory.Directory()
+        self._history = []
+        self._truth = {}
+        self._version = 0
+        self._newest_version = 0
+        self._newest_revision = 0
+
+    def step(self):
+        """Write to the registry, deliver some of it, or read all."""
+        self.now += self._random.random()
+        chance = self._random.random()
+        if chance < 0.4:
+            self.write()
+        elif chance < 0.95:
+            self.deliver()
+        elif chance < 0.99 or not self._history:
+            self.read_all(len(self._history))
+        else:
+            # The registry forgot its last writes and gets them again.
+            self._newest_revision = self._random.randrange(len(self._history))
+            self.read_all(self._newest_revision)
+        self.check()
+
+    def write(self):
+        """Make the next change."""
+        revision = len(self._history) + 1
+        name = f'i-{self._random.randrange(8)}'
+        chance = self._random.random()
+        if chance < 0.3:
+            self._version += self._random.randrange(1, 4)
+            event = models.Configuration(self._version, None, [], [], [])
+        elif chance < 0.7 or name not in self._truth:
+            event = builders.make_target(
+                name, address=f'10.9.0.{name[2:]}', started_ms=revision
+            )
+            self._truth[name] = event
+        else:
+            del self._truth[name]
+            event = directory.TargetRemoved(name)
+        self._history.append((revision, event))
+
+    def deliver(self):
+        """Deliver a piece of the history, old ones too, without a gap."""
+        known = self.directory.revision
+        first = self._random.randrange(max(0, known - 5), known + 1)
+        last = min(len(self._history), first + self._random.randrange(1, 10))
+        changes = directory.Changes(
+            last, tuple(self._history[first:last]), b''
+        )
+        self.directory.apply_changes(changes, self.now)
+
+    def read_all(self, revision):
+        """Read the registry as it was at a revision."""
+        configuration = None
+        targets = {}
+        for _, event in self._history[:revision]:
+            match event:
+                case models.Configuration():
+                    configuration = event
+                case models.Target():
+                    targets[event.instance] = event
+                case directory.TargetRemoved(instance):
+                    targets.pop(instance, None)
+        snapshot = directory.Snapshot(
+            revision, configuration, tuple(targets.values()), frozenset()
+        )
+        self.directory.apply_snapshot(snapshot, self.now)
+
+    def check(self):
+        """Raise `BrokenPromise` if the directory goes back or differs."""
+        configuration = self.directory.configuration
+        version = configuration.version if configuration else 0
+        if version < self._newest_version:
+            raise BrokenPromise(
+                f'version {version} after {self._newest_version}'
+            )
+        self._newest_version = version
+        revision = self.directory.revision
+        if revision < self._newest_revision:
+            raise BrokenPromise(
+                f'revision {revision} after {self._newest_revision}'
+            )
+        self._newest_revision = revision
+        if revision == len(self._history):
+            found = {
+                name: known.target
+                for name, known in self.directory.targets.items()
+            }
+            if found != self._truth:
+                raise BrokenPromise('targets differ from the registry')
+
+
+WALKS = {'fleet': FleetWalk, 'directory': DirectoryWalk}
+
+
+def run_walk(make_walk, seed, steps):
+    """Run one walk; raises `BrokenPromise` with the seed and the step."""
+    walk = make_walk(seed)
+    for number in range(steps):
+        try:
+            walk.step()
+        except BrokenPromise as error:
+            raise BrokenPromise(
+                f'{make_walk.__name__} seed {seed} step {number}: {error}'
+            ) from None
+
+
+def main():
+    """Run walks with fresh seeds until all steps are done."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--steps', type=int, default=1_000_000)
+    parser.add_argument('--seed', type=int, default=None)
+    arguments = parser.parse_args()
+    first = arguments.seed
+    if first is None:
+        first = random.SystemRandom().randrange(2**32)
+    broken = 0
+    for name, make_walk in WALKS.items():
+        for number in range(arguments.steps // WALK_STEPS):
+            try:
+                run_walk(make_walk, first + number, WALK_STEPS)
+            except BrokenPromise as error:
+                broken += 1
+                print(f'broken: {error}')
+        print(f'{name}: {arguments.steps} steps from seed {first}')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -18,7 +18,7 @@
     """
 
     def test_a_domain_keeps_to_its_part(self):
-        hosts = [budgets.Budgets(LIMITS) for _ in range(16)]
+        hosts = [budgets.Budgets(LIMITS, -WINDOW_S) for _ in range(16)]
         rng = random.Random(3)
         sent = []
         requests = []
@@ -27,7 +27,7 @@
             host = rng.choice(hosts)
             host.record_request('ledger', now)
             requests.append(now)
-            retries = int(host.take('ledger', now, 1 / 3))
+            retries = int(host.take('ledger', now, 1 / 3, 16))
             sent.extend([now] * retries)
             for other in hosts:
                 if other is not host:
@@ -40,16 +40,28 @@
         self.assertGreater(len(sent), 0.15 * len(requests))
 
     def test_one_host_may_use_what_its_domain_has(self):
-        host = budgets.Budgets(LIMITS)
+        host = budgets.Budgets(LIMITS, -WINDOW_S)
         host.record_peer('ledger', 100, 0, 0.0)
-        taken = sum(host.take('ledger', 0.0, 1 / 3) for _ in range(100))
+        taken = sum(host.take('ledger', 0.0, 1 / 3, 16) for _ in range(100))
         self.assertEqual(taken, int(100 * 0.17 + 64 * 0.85 / 3))
 
+    def test_a_restart_brings_no_slack(self):
+        """Guards against a process that spends what the others have spent.
+
+        A random walk with restarts (`model_check --seed 12`) had more
+        further sends than the budget.
+        """
+        host = budgets.Budgets(LIMITS, 100.0)
+        self.assertFalse(host.take('ledger', 100.1, 1.0, 64))
+        host.record_peer('ledger', 100, 0, 100.1)
+        taken = sum(host.take('ledger', 105.0, 1.0, 16) for _ in range(100))
+        self.assertEqual(taken, int(100 * 0.17 + 64 * 0.85 / 2))
+
     def test_services_have_budgets_of_their_own(self):
-        host = budgets.Budgets(LIMITS)
-        while host.take('ledger', 0.0, 0.1):
+        host = budgets.Budgets(LIMITS, -WINDOW_S)
+        while host.take('ledger', 0.0, 0.1, 16):
             pass
-        self.assertTrue(host.take('archive', 0.0, 0.1))
+        self.assertTrue(host.take('archive', 0.0, 0.1, 16))
 
     def test_the_window_passes(self):
         count = budgets.WindowCount(WINDOW_S)
--- /dev/null
+++ b/tests/edge/test_model_check.py
@@ -0,0 +1,99 @@
+"""Short random walks, and weakened variants that they have to find."""
+
+import unittest
+from unittest import mock
+
+from lavenderstile.edge import allowances
+from lavenderstile.edge import balancing
+from lavenderstile.edge import budgets
+from lavenderstile.edge import directory
+from tests.edge import model_check
+
+STEPS = 2_500
+SEEDS = range(3)
+
+
+class WalkTest(unittest.TestCase):
+    """Guards against promises that break when faults come together."""
+
+    def run_walks(self, make_walk, seeds=SEEDS):
+        """Run walks; raises `BrokenPromise`."""
+        for seed in seeds:
+            model_check.run_walk(make_walk, seed, STEPS)
+
+    def test_the_fleet_keeps_its_promises(self):
+        self.run_walks(model_check.FleetWalk)
+
+    def test_the_directory_keeps_its_promises(self):
+        self.run_walks(model_check.DirectoryWalk)
+
+    def test_walks_that_broke_a_promise(self):
+        # 12, 17 and 20: new processes spent the retry budget once more.
+        self.run_walks(model_check.FleetWalk, (12, 17, 20))
+
+
+class WeakenedTest(WalkTest):
+    """Guards against walks that would not notice a missing mechanism."""
+
+    # The walks of the base class run there.
+    test_the_fleet_keeps_its_promises = None
+    test_the_directory_keeps_its_promises = None
+    test_walks_that_broke_a_promise = None
+
+    def assert_found(self, make_walk, owner, name, weakened):
+        """Fail unless the walks find a weakened variant."""
+        with mock.patch.object(owner, name, weakened):
+            with self.assertRaises(model_check.BrokenPromise) as caught:
+                self.run_walks(make_walk)
+        self.assertIn('seed', str(caught.exception))
+
+    def test_rates_without_news_of_others(self):
+        self.assert_found(
+            model_check.FleetWalk,
+            allowances.Allowances,
+            'record',
+            lambda *_: None,
+        )
+
+    def test_budgets_without_news_of_others(self):
+        self.assert_found(
+            model_check.FleetWalk,
+            budgets.Budgets,
+            'record_peer',
+            lambda *_: None,
+        )
+
+    def test_cold_targets_without_owners(self):
+        self.assert_found(
+            model_check.FleetWalk,
+            balancing.ColdGate,
+            '_list_hosts',
+            lambda self, _: [self._fleet.address],
+        )
+
+    def test_cold_targets_without_spacing(self):
+        self.assert_found(
+            model_check.FleetWalk,
+            balancing.ColdGate,
+            'record',
+            lambda *_: None,
+        )
+
+    def test_versions_that_go_back(self):
+        def take(self, configuration):
+            self._configuration = configuration or self._configuration
+
+        self.assert_found(
+            model_check.DirectoryWalk,
+            directory.Directory,
+            '_take_configuration',
+            take,
+        )
+
+    def test_removals_that_are_missed(self):
+        self.assert_found(
+            model_check.DirectoryWalk,
+            directory.Directory,
+            '_remove_all',
+            lambda *_: None,
+        )
