Test splits, early answers and a clock that went back

Guards against a split that moves with what has room, an early answer that is lost under a long body, and a host that is not heard after a restart with an earlier clock.

--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -85,6 +85,17 @@
         self.take('10.1.0.3', started_ms=1, running={'i-1': 3})
         self.assertEqual(self.fleet.get_running('i-1'), 1)
 
+    def test_a_host_whose_clock_went_back_is_heard_again(self):
+        """Guards against a restart after a step of the clock."""
+        self.take('10.1.0.3', 0.0, started_ms=9_000, running={'i-1': 2})
+        self.take('10.1.0.3', 0.1, started_ms=500, running={'i-2': 1})
+        self.assertEqual(self.fleet.get_running('i-1'), 2)
+        now = fleet.SILENCE_LIMIT_S + 0.1
+        self.assertEqual(self.fleet.expire(now), ['10.1.0.3'])
+        self.take('10.1.0.3', now, started_ms=500, running={'i-2': 1})
+        self.assertEqual(self.fleet.get_running('i-1'), 0)
+        self.assertEqual(self.fleet.get_running('i-2'), 1)
+
 
 class DomainTest(unittest.TestCase):
     """Guards against wrong totals of other domains."""
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -1,14 +1,17 @@
 """Tests of the path of a request, with real sockets."""
 
 import asyncio
+import contextlib
 import time
 
 import eliot
+import msgspec
 
 from emulator import registered_target as standin
 from emulator import registry_store
 from lavenderstile.edge import directory
 from lavenderstile.edge import handler
+from lavenderstile.platform import objects
 from tests.edge import edge_case
 
 
@@ -268,6 +271,104 @@
         self.assertEqual((len(first.seen), len(second.seen)), (0, 1))
 
 
+class SplitTest(edge_case.EdgeCase):
+    """Guards against a split whose weights move with what has room."""
+
+    REQUESTS = 104
+    # As many as a target takes at once.
+    AT_ONCE = 8
+    SMALL_SHARE = 0.3
+    # Six standard deviations of the binomial distribution.
+    TOLERANCE = 6 * (REQUESTS * SMALL_SHARE * (1 - SMALL_SHARE)) ** 0.5
+
+    def split(self):
+        """Split the safe route over two services."""
+        data = registry_store.describe_configuration(2)
+        action = data['listeners'][0]['rules'][0]['action']
+        # Requests without a target are held for a third of their time.
+        action['timeoutS'] = 2.0
+        action['trafficSplit'] = [
+            {'service': registry_store.SERVICE, 'weight': 70},
+            {'service': 'archive', 'weight': 30},
+        ]
+        data['clusters'].append({**data['clusters'][0], 'name': 'archive'})
+        self.configure(data)
+
+    async def send_all(self):
+        """Send requests; return their statuses."""
+        statuses = []
+        while len(statuses) < self.REQUESTS:
+            answers = await asyncio.gather(
+                *(self.request('/read/1') for _ in range(self.AT_ONCE))
+            )
+            statuses += [status for status, _, _ in answers]
+        return statuses
+
+    async def test_each_service_gets_its_share(self):
+        large = await self.add_target()
+        small = await self.add_target(service='archive')
+        self.split()
+        self.assertEqual(set(await self.send_all()), {200})
+        expected = self.REQUESTS * self.SMALL_SHARE
+        self.assertAlmostEqual(len(small.seen), expected, delta=self.TOLERANCE)
+        self.assertEqual(len(large.seen) + len(small.seen), self.REQUESTS)
+
+    async def test_the_share_of_a_service_without_targets_is_refused(self):
+        large = await self.add_target()
+        self.split()
+        statuses = await self.send_all()
+        expected = self.REQUESTS * self.SMALL_SHARE
+        self.assertAlmostEqual(
+            statuses.count(503), expected, delta=self.TOLERANCE
+        )
+        self.assertEqual(len(large.seen), statuses.count(200))
+
+
+class EarlyAnswerTest(edge_case.EdgeCase):
+    """Guards against an answer that is lost while a body is being sent."""
+
+    BODY = b'x' * 800_000
+
+    async def add_early_target(self, status, *more):
+        """Start a target that answers as soon as it has the header."""
+
+        async def serve(reader, writer):
+            head = await reader.readuntil(b'\r\n\r\n')
+            for line in head.decode().split('\r\n'):
+                name, _, value = line.partition(': ')
+                if name.lower() == 'x-lavenderstile-attempt-id':
+                    request_id = value
+            writer.write(
+                standin.render(request_id, status, b'early', list(more))
+            )
+            await writer.drain()
+            # What is not read makes the kernel reset the connection. The
+            # end of the test may come first.
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(0.1)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        entry = registry_store.describe_target(f'{host}:{port}')
+        self.take(objects.decode_target('i-early', msgspec.json.encode(entry)))
+        self.parts.health.add('i-early', False, self.clock.now())
+
+    async def test_a_failure_reaches_the_caller(self):
+        await self.add_early_target(500)
+        status, _, body = await self.request('/pay/1', self.BODY)
+        self.assertEqual((status, body), (500, b'early'))
+
+    async def test_a_rejection_lets_another_target_have_it(self):
+        await self.add_early_target(503, 'x-lavenderstile-not-executed: 1')
+        other = await self.add_target()
+        for _ in range(3):
+            status, _, _ = await self.request('/pay/1', self.BODY)
+            self.assertEqual(status, 200)
+        self.assertEqual([r.body for r in other.seen], 3 * [self.BODY])
+
+
 class CancelTest(edge_case.EdgeCase):
     """Guards against work for callers that have left."""
 
