--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -147,7 +147,7 @@
             self._mesh.pass_on,
             lambda: self.parts.reports.touch(),
         )
-        self._mesh.take_news = self._follower.take_news
+        self._mesh.take_batch = self._follower.take_batch
         handler = handler_module.RequestHandler(self.parts)
         self._callers = callers.CallerServer(self._clock, handler)
         self._version = None
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -23,7 +23,7 @@
 
 # Messages grow with the square of a domain's hosts. Beyond this many peers
 # whole updates are sent less often, and news that can wait do so for longer
-# with each peer.
+# with each peer, but for less time than most requests take.
 FREQUENT_PEERS = 16
 DELAY_S_PER_PEER = 0.01
 MAX_DELAY_S = 0.2
@@ -111,7 +111,7 @@
         self._crashes = []
         self._news = news_module.NewsLog()
         self._is_leaving = False
-        self.take_news = _ignore
+        self.take_batch = _ignore
 
     async def start(self):
         """Open the socket."""
@@ -371,7 +371,7 @@
             return
         for batch in batches:
             self._news.note(batch, self._clock.now())
-            self.take_news(batch)
+            self.take_batch(batch)
 
     def _send_update(self, is_whole=True):
         if self._timer is not None:
--- a/lavenderstile/edge/registry.py
+++ b/lavenderstile/edge/registry.py
@@ -118,7 +118,7 @@
             # Peers ask themselves when they hear of no answer for a while.
             self._announce()
 
-    def take_news(self, batch):
+    def take_batch(self, batch):
         """Take changes that a peer read."""
         known = self._directory.revision
         if not self._is_synchronized or not (
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -187,10 +187,10 @@
             lambda: None,
         )
         batch = news.Batch(after, changes.revision, changes.body)
-        follower.take_news(batch)
+        follower.take_batch(batch)
         self.assertEqual(other.targets, {}, 'not synchronized yet')
         await follower._read_all()
-        follower.take_news(batch)
+        follower.take_batch(batch)
         self.assertIn('i-1', other.targets)
 
     async def test_each_answer_is_announced(self):
@@ -214,14 +214,14 @@
         )
         known = self.directory.revision
         batch = news.Batch(known + 1, known + 2, changes.body)
-        self.follower.take_news(batch)
+        self.follower.take_batch(batch)
         self.assertEqual(self.list_instances(), set())
 
     async def test_unreadable_news_change_nothing(self):
         self.put_configuration(3)
         await self.follower._read_all()
         batch = news.Batch(0, self.directory.revision + 1, b'\xff')
-        self.follower.take_news(batch)
+        self.follower.take_batch(batch)
         self.assertEqual(self.directory.configuration.version, 3)
 
     async def test_a_host_with_followers_does_not_ask(self):
