Move waiting requests to the new owner of their service

Cause: three places kept a request where no slot would come. A request queued at its own host stayed there when another host became the owner. A host that relayed a request to a paused owner waited for it until the deadline, because only the first host of the chain checked whether the owner was in contact. A successor that had been asked for slots before counted the time without slots from then, and refused requests (no_capacity) before its units could arrive.

Change: waits.wait_while ends such waits as soon as the owner is not in contact or no longer the owner, for local, remote and relayed requests; a grant that arrives with a cancellation is released. A host that becomes the owner restarts the count of the time without slots. The log line slot_request_unanswered names the owner, the wait and the reason.

Measured: test_the_successor_waits_for_its_units and test_a_silent_owner_does_not_keep_the_request fail without the change.

--- a/lavenderstile/admission.py
+++ b/lavenderstile/admission.py
@@ -82,6 +82,13 @@
         self._review.configure(service, domains_out, now)
         self._dirty = True
 
+    def start_ownership(self):
+        """Expect units from now on, since this host has become the owner.
+
+        Before that it had none, however long requests arrived here.
+        """
+        self._throughput.reset_no_capacity()
+
     def set_units(self, units, now):
         """Replace the slot units that this owner may use."""
         own = frozenset(unit for unit in units if unit.service == self._name)
--- a/lavenderstile/membership.py
+++ b/lavenderstile/membership.py
@@ -193,6 +193,11 @@
             return PeerState.RELAYED
         return PeerState.UNREACHABLE
 
+    def is_reachable(self, address, now):
+        """Return whether a peer recently completed an exchange."""
+        state = self.state(address, now)
+        return state in (PeerState.ALIVE, PeerState.LEAVING)
+
     @property
     def last_contact_at(self):
         """Time of the last completed exchange with any peer, or None."""
--- a/lavenderstile/owner.py
+++ b/lavenderstile/owner.py
@@ -220,6 +220,8 @@
         self._services.configure_all(now)
 
     def _update_hosts(self, now):
+        _, owned_services = self._ownership.lent_to(self.address, now)
+        self._services.set_owned(owned_services)
         self._services.reconcile_grants(
             self.address, self._list_running(), now
         )
--- a/lavenderstile/peers.py
+++ b/lavenderstile/peers.py
@@ -6,6 +6,7 @@
 
 from . import errors
 from . import messages
+from . import waits
 from . import wire
 from .proto import peer_pb2
 from .proto import peer_pb2_grpc
@@ -182,11 +183,20 @@
         endpoint = self._find_endpoint(hosts)
         if endpoint is None:
             return None
+        owner = hosts[0]
+
+        def is_expected():
+            now = self._clock.now()
+            hosts = self._ownership.list_slot_hosts(request.service, now)
+            is_owner = hosts[:1] == [owner]
+            return is_owner and self._membership.is_reachable(owner, now)
+
         packed = wire.pack_admit(request, now, relayed=True)
         timeout_s = max(0.0, request.deadline - now)
         try:
-            return await self._clients.call(
-                endpoint, 'Admit', packed, timeout_s
+            return await waits.wait_while(
+                self._clients.call(endpoint, 'Admit', packed, timeout_s),
+                is_expected,
             )
         except errors.PeerError:
             return None
--- a/lavenderstile/service_owner.py
+++ b/lavenderstile/service_owner.py
@@ -23,6 +23,7 @@
         self._borrower = borrower
         self._metrics = metrics
         self._admissions = {}
+        self._owned = frozenset()
         self._units = {}
         self._waiting = {}
         self._summaries = {}
@@ -98,6 +99,14 @@
         """Store a service's summary, in case this host becomes its owner."""
         self._summaries[summary.service] = (summary, now)
 
+    def set_owned(self, services):
+        """Replace the names of the services that this host owns."""
+        for service in services - self._owned:
+            service_admission = self._admissions.get(service)
+            if service_admission is not None:
+                service_admission.start_ownership()
+        self._owned = services
+
     def configure_all(self, now):
         """Apply a change of the configuration."""
         for service, service_admission in self._admissions.items():
--- a/lavenderstile/slot_client.py
+++ b/lavenderstile/slot_client.py
@@ -2,17 +2,17 @@
 
 import asyncio
 
+import eliot
+
 from . import errors
 from . import gate
-from . import membership
 from . import messages
 from . import throughput
 from . import verdicts
+from . import waits
 from . import wire
 
 MAX_CANDIDATES = 2
-# Interval at which a waiting call checks that its owner is in contact.
-LIVENESS_CHECK_INTERVAL_S = 0.25
 # Delay before the owners are tried again when none has answered.
 RETRY_DELAY_S = 0.1
 # A request without a reachable owner is refused after this time; see
@@ -87,39 +87,65 @@
 
     async def _request_slot(self, address, request):
         """Return a grant, a refusal, or None if the owner did not answer."""
-        if address == self._host.address:
-            outcome = await self._owner.admit(request)
-            return self._track_grant(outcome, address)
-        call = asyncio.ensure_future(self._call(address, request))
+        started_at = self._host.clock.now()
+        initial_owner = self._candidates(request.service)[:1]
+
+        def is_expected():
+            if not self._is_reachable(address):
+                return False
+            # A host that has lost the service to another owner gets no more
+            # slots, so a request there would wait until its deadline.
+            owner = self._candidates(request.service)[:1]
+            return owner == initial_owner or owner == [address]
+
         try:
-            while True:
-                done, _ = await asyncio.wait(
-                    {call}, timeout=LIVENESS_CHECK_INTERVAL_S
-                )
-                if done:
-                    return self._track_grant(*call.result())
-                if not self._is_alive(address):
-                    return None
-        except errors.PeerError:
+            reply = await waits.wait_while(
+                self._call(address, request),
+                is_expected,
+                lambda reply: self._release_unused(*reply, request),
+            )
+        except errors.PeerError as error:
+            self._log_no_reply(address, request, started_at, str(error))
             return None
-        finally:
-            call.cancel()
+        if reply is None:
+            self._log_no_reply(
+                address, request, started_at, 'owner is gone or has changed'
+            )
+            return None
+        return self._track_grant(*reply)
+
+    def _log_no_reply(self, address, request, started_at, detail):
+        waited_s = self._host.clock.now() - started_at
+        eliot.log_message(
+            'slot_request_unanswered',
+            id=request.request_id,
+            service=request.service,
+            owner=address,
+            waited_ms=round(waited_s * 1000),
+            detail=detail,
+        )
 
-    def _is_alive(self, address):
-        now = self._host.clock.now()
-        state = self._host.membership.state(address, now)
-        return state in (
-            membership.PeerState.ALIVE,
-            membership.PeerState.LEAVING,
+    def _is_reachable(self, address):
+        return address == self._host.address or (
+            self._host.membership.is_reachable(address, self._host.clock.now())
         )
 
     async def _call(self, address, request):
+        """Return the decision of a host, and the owner that made it."""
+        if address == self._host.address:
+            return await self._owner.admit(request), address
         now = self._host.clock.now()
         packed = wire.pack_admit(request, now)
         timeout_s = max(0.0, request.deadline - now) + REPLY_ALLOWANCE_S
         reply = await self._host.call_peer(address, 'Admit', packed, timeout_s)
         return wire.unpack_decision(reply, request.request_id)
 
+    def _release_unused(self, outcome, owner, request):
+        """Release a grant whose request was cancelled meanwhile."""
+        match self._track_grant(outcome, owner):
+            case messages.Grant() as grant:
+                self.release(grant, request.digest, messages.Outcome.NOT_SENT)
+
     def _track_grant(self, outcome, owner):
         match outcome:
             case messages.Grant(grant_id=grant_id):
--- a/lavenderstile/throughput.py
+++ b/lavenderstile/throughput.py
@@ -95,5 +95,5 @@
         return now - self._no_capacity_since >= NO_CAPACITY_WAIT_S
 
     def reset_no_capacity(self):
-        """Restart the count of time without slots, after a pause."""
+        """Restart the count of the time without slots."""
         self._no_capacity_since = None
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -6,6 +6,7 @@
 
 from lavenderstile import clocks
 from lavenderstile import configuration_ages
+from lavenderstile import hashing
 from lavenderstile import membership
 from lavenderstile import messages
 from lavenderstile import metrics
@@ -13,6 +14,7 @@
 from lavenderstile import owner
 from lavenderstile import owner_messages
 from lavenderstile import ownership
+from lavenderstile import throughput
 from lavenderstile import verdicts
 
 OWN = '127.0.0.1'
@@ -125,6 +127,42 @@
         self.assertIsInstance(refusal, verdicts.Refusal)
 
 
+class SuccessorTest(OwnerTestCase):
+    """Guards against refusals after the owner of a service has failed.
+
+    Its successor had requests without slots before, as the second choice of
+    hosts that did not reach the owner, and counted that time.
+    """
+
+    async def asyncSetUp(self):
+        """Find a peer that owns the service while it is alive."""
+        await super().asyncSetUp()
+        item = ownership.service_item('ledger')
+        self.peer = next(
+            address
+            for address in (f'127.0.0.{number}' for number in range(2, 90))
+            if hashing.top(item, (OWN, address)) == address
+        )
+
+    async def test_the_successor_waits_for_its_units(self):
+        report = membership.PeerReport(
+            self.peer, f'{self.peer}:1', 'north', 1, ready=True
+        )
+        self.membership.record_success(report, self.clock.now())
+        await self.step()
+        first = asyncio.create_task(self.owner.admit(self.make_request(1)))
+        await self.step(0.0)
+        while self.membership.is_reachable(self.peer, self.clock.now()):
+            await self.step()
+        second = asyncio.create_task(self.owner.admit(self.make_request(2)))
+        became_owner_at = self.clock.now()
+        wait_s = throughput.NO_CAPACITY_WAIT_S - 0.5
+        while self.clock.now() < became_owner_at + wait_s:
+            await self.step()
+            self.assertFalse(first.done() and second.done())
+            self.assertFalse(second.done())
+
+
 class AdmitTest(OwnerTestCase):
     """Guards against slots that are never released."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of the handling of calls from peers."""
 
+import asyncio
 import types
 import unittest
 
@@ -11,6 +12,9 @@
 from lavenderstile.proto import peer_pb2
 from lavenderstile import verdicts
 
+# Overall limit of a test's waits; no bound on what is measured.
+LIMIT_S = 20.0
+
 OWN = '127.0.0.1'
 OWNER = '127.0.0.2'
 REFUSAL = verdicts.Refusal(verdicts.Reason.NO_CAPACITY, 'no slot here')
@@ -118,3 +122,18 @@
         admit = peer_pb2.AdmitRequest(service='ledger', remaining_s=5.0)
         reply = await servicer.Admit(admit, None)
         self.assertEqual(reply.refusal.reason, 'no_capacity')
+
+    async def test_a_silent_owner_does_not_keep_the_request(self):
+        """Guards against a wait until the deadline at a paused owner.
+
+        The caller noticed 0.25 s before this host that the owner was gone,
+        and this host relayed the request to it.
+        """
+        servicer = self.make()
+        self.clients.call = lambda *_: (
+            asyncio.get_running_loop().create_future()
+        )
+        request = peer_pb2.AdmitRequest(service='ledger', remaining_s=600.0)
+        async with asyncio.timeout(LIMIT_S):
+            reply = await servicer.Admit(request, None)
+        self.assertEqual(reply.refusal.reason, 'no_capacity')
