Ignore responses sent before a fault in the estimate of a target's health

Cause: when a target begins to fail, the requests that it is running still succeed. Their responses arrive after the first errors, and each of them counted as evidence that the target was healthy again: two or three made it a first choice while it failed.

Change: a success counts only if its request was sent after the latest fault, unless that fault was a slow response, whose request may be the one that succeeds.

--- a/lavenderstile/edge/health.py
+++ b/lavenderstile/edge/health.py
@@ -69,6 +69,7 @@
 
     __slots__ = (
         'failure_probability',
+        'faulted_at',
         'is_untried',
         'latency_at',
         'latency_s',
@@ -80,6 +81,7 @@
 
     def __init__(self, probability, is_untried, now):
         self.failure_probability = probability
+        self.faulted_at = float('-inf')
         self.is_untried = is_untried
         self.updated_at = now
         self.path_blocked_until = 0.0
@@ -97,8 +99,26 @@
             + (self.failure_probability - PRIOR_PROBABILITY) * weight
         )
 
-    def update(self, failed, now):
-        """Update the failure probability with one outcome."""
+    def update_on_success(self, sent_at, now):
+        """Update the failure probability with a success.
+
+        A response to a request that was sent before the latest fault shows
+        that the target was healthy before it, not that it has recovered.
+        """
+        if sent_at > self.faulted_at:
+            self._update(False, now)
+
+    def update_on_fault(self, kind, now):
+        """Update the failure probability with a fault.
+
+        A slow response is a fault while its request still runs, so the
+        success that follows it is evidence as well.
+        """
+        if kind is not FaultKind.SILENT:
+            self.faulted_at = now
+        self._update(True, now)
+
+    def _update(self, failed, now):
         probability = self.get_failure_probability(now)
         if failed:
             bad, good = FAILING_ERROR_RATE, HEALTHY_ERROR_RATE
@@ -167,7 +187,7 @@
             health.shed_until = now + SHED_BLOCK_S
             return False
         before = health.get_failure_probability(now)
-        health.update(True, now)
+        health.update_on_fault(kind, now)
         return before <= AVOIDED_PROBABILITY < health.failure_probability
 
     def record_path_fault(self, instance, now):
@@ -188,7 +208,7 @@
         health = self._targets.get(instance)
         if health is None:
             return
-        health.update(False, now)
+        health.update_on_success(now - latency_s, now)
         if is_own:
             health.path_faults = 0
         self.record_latency(instance, service, latency_s, now)
