Count requests over the rate as not served

While more than a tenth of the requests of a service are not served, most of its healthy targets have to be in use. Avoided targets that had recovered were left out.

Change: a request that is refused for its rate is counted as a request of its service (also for the retry budget, which counts all requests that callers send) and as not served, on the host itself and for its peers.

Ruled out, with the state of each target in the log: targets that get no request because they are cold or unreachable; a stuck count of running requests; healthy targets with a low probability of failure that are left out (all that were had failed within seconds).

Measured: test_a_request_over_the_rate_counts_as_not_served fails without the change.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -125,10 +125,7 @@
         duration_s = self._clock.now() - request.arrived_at
         self._metrics.record_request(outcome.partition(':')[0], duration_s)
         if call is not None and call.service is not None:
-            failed = int(status >= 500)
-            self._outcomes.record(call.service, 1, failed, self._clock.now())
-            if failed:
-                self._budgets.record_failure(call.service)
+            self._record_outcome(call.service, status < 500)
         request_id = (
             self._header_codec.read_request(request.headers).request_id
             if call is None
@@ -177,23 +174,40 @@
         call = calls.Call(request, metadata, route, workspace, deadline)
         call.service = self._pick_service(route)
         self._refuse_crashing_request(call)
-        if workspace is not None:
-            wait_s = self._rate_limits.take(workspace.name, self._clock.now())
-            if wait_s:
-                eliot.log_message(
-                    'rate_refused',
-                    id=metadata.request_id,
-                    workspace=workspace.name,
-                    **self._rate_limits.describe(workspace.name),
-                )
-                refuse(
-                    Reason.RATE_EXCEEDED,
-                    f'workspace {workspace.name} is over its rate',
-                    wait_s,
-                )
         self._budgets.record_request(call.service, self._clock.now())
+        if workspace is not None:
+            self._take_token(call, workspace.name)
         return call
 
+    def _take_token(self, call, workspace):
+        """Refuse the request if its workspace is over its rate."""
+        wait_s = self._rate_limits.take(workspace, self._clock.now())
+        if not wait_s:
+            return
+        eliot.log_message(
+            'rate_refused',
+            id=call.request_id,
+            workspace=workspace,
+            **self._rate_limits.describe(workspace),
+        )
+        self._record_outcome(call.service, is_served=False)
+        refuse(
+            Reason.RATE_EXCEEDED,
+            f'workspace {workspace} is over its rate',
+            wait_s,
+        )
+
+    def _record_outcome(self, service, is_served):
+        """Count a request, so that healthy targets stay in use.
+
+        The share of healthy targets in use has to be kept while requests are
+        not served, whatever the reason.
+        """
+        unserved = int(not is_served)
+        self._outcomes.record(service, 1, unserved, self._clock.now())
+        if unserved:
+            self._budgets.record_failure(service)
+
     def _find_workspace(self, configuration, route, key):
         if not configuration.workspaces:
             return None
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -214,6 +214,27 @@
         self.assertIn(429, statuses)
         self.assertEqual(len(target.seen), statuses.count(200))
 
+    async def test_a_request_over_the_rate_counts_as_not_served(self):
+        """Load pattern: a workspace over its rate while a few targets fail.
+
+        Guards against healthy targets that are left out while more than a
+        tenth of the requests are not served (FLOOR): only failed requests
+        were counted, and refused ones made up most of that tenth.
+        """
+        await self.add_target()
+        data = registry_store.describe_configuration(2)
+        data['tenants'][0].update(ratePerS=1, burst=1)
+        self.configure(data)
+        statuses = [(await self.request('/read/1'))[0] for _ in range(4)]
+        now = self.clock.now()
+        service = registry_store.SERVICE
+        self.assertEqual(
+            self.parts.outcomes.get_failing_share(service, now),
+            statuses.count(429) / len(statuses),
+        )
+        requests, _, unserved = self.parts.budgets.own[service]
+        self.assertEqual((requests, unserved), (4, statuses.count(429)))
+
     async def test_a_refusal_is_logged_with_its_id_and_inputs(self):
         """Guards against a refusal that is not found in the log by its id."""
         await self.add_target()
