Bound the memory and time that endless responses of targets take

Cause: bytes that are no response may come without end, in a head or a body, until the host closes. Each response could grow to 32 MB, with no limit for all of them (hosts have 200 MB), and informational responses were skipped without a limit, in one step of the event loop each read.

Change: ResponseMemory counts the bytes of all incomplete responses of a host; above 48 MB the largest one is given up, so that sound responses pass. More than 8 informational responses fail the request. Both close the connection at once, count as a fault of the target, and tell the caller that the request may have run. Connections to the store have the same limits of their own.

Ruled out: a lower limit for each response, which would fail large sound ones; a limit by time only, which 50 targets pass within a second.

Heads, single lines, garbage and empty lines without end were refused before, too.

--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from . import response_memory
+
 # TCP_USER_TIMEOUT: a connection whose bytes stay unacknowledged for this long
 # is closed. Also detects a silent connection while new ones still work.
 UNACKNOWLEDGED_LIMIT_MS = 1000
@@ -15,6 +17,10 @@
 # Stale responses to earlier requests that are skipped during one request.
 MAX_SKIPPED_RESPONSES = 4
 
+# Informational (1xx) responses before the response itself. A target that sends
+# them without end would otherwise keep the event loop busy.
+MAX_INFORMATIONAL_RESPONSES = 8
+
 _READ_BYTES = 64 * 1024
 
 
@@ -56,7 +62,9 @@
         '_accepts',
         '_response_head',
         '_closed',
+        '_informational',
         '_loop',
+        '_memory',
         '_parser',
         '_body_parts',
         '_request',
@@ -70,8 +78,9 @@
         'uses',
     )
 
-    def __init__(self, loop, now):
+    def __init__(self, loop, now, memory):
         self._loop = loop
+        self._memory = memory
         self._transport = None
         self._parser = None
         self._waiter = None
@@ -81,6 +90,7 @@
         self._response_head = None
         self._body_parts = []
         self._body_size = 0
+        self._informational = 0
         self._skipped = 0
         self.created_at = now
         self.idle_since = now
@@ -143,8 +153,13 @@
             h11.CLIENT, max_incomplete_event_size=_READ_BYTES
         )
         self._response_head = None
+        self._informational = 0
+        self._clear_body()
+
+    def _clear_body(self):
         self._body_parts = []
         self._body_size = 0
+        self._memory.release(self)
 
     def data_received(self, data):
         """Parse bytes; without a request in flight, close the connection."""
@@ -162,45 +177,56 @@
     def connection_lost(self, error):
         """Fail the request in flight."""
         self._closed = True
+        self._clear_body()
         if self._waiter is not None and not self._waiter.done():
-            self._fail(f'connection lost: {error!r}')
+            self.give_up(f'connection lost: {error!r}')
 
     def _feed(self, data):
         try:
             self._parser.receive_data(data)
             while self._handle_event(self._parser.next_event()):
-                pass
+                if self._closed:
+                    return
         except h11.RemoteProtocolError as error:
-            self._fail(f'response is malformed or truncated: {error}')
+            self.give_up(f'response is malformed or truncated: {error}')
 
     def _handle_event(self, event):
         match event:
             case h11.Response():
                 self._response_head = event
             case h11.Data():
-                self._body_parts.append(bytes(event.data))
-                self._body_size += len(event.data)
-                if self._body_size > MAX_RESPONSE_BYTES:
-                    self._fail('response is too large')
-                    return False
+                return self._handle_data(bytes(event.data))
             case h11.EndOfMessage():
                 self._complete_response()
                 return False
             case h11.InformationalResponse():
-                pass
+                self._informational += 1
+                if self._informational > MAX_INFORMATIONAL_RESPONSES:
+                    self.give_up('too many informational responses')
+                    return False
             case h11.ConnectionClosed():
-                self._fail('connection closed before the response')
+                self.give_up('connection closed before the response')
                 return False
             case _:
                 return False
         return True
 
+    def _handle_data(self, data):
+        self._body_parts.append(data)
+        self._body_size += len(data)
+        if self._body_size > MAX_RESPONSE_BYTES:
+            self.give_up('response is too large')
+            return False
+        self._memory.add(self, len(data))
+        return True
+
     def _complete_response(self):
         response = HttpResponse(
             self._response_head.status_code,
             list(self._response_head.headers),
             b''.join(self._body_parts),
         )
+        self._clear_body()
         trailing, at_eof = self._parser.trailing_data
         if self._accepts is not None and not self._accepts(response):
             self._skip_response(trailing, at_eof)
@@ -223,11 +249,11 @@
             or self._skipped > MAX_SKIPPED_RESPONSES
             or not self.is_reused
         ):
-            self._fail('response belongs to another request')
+            self.give_up('response belongs to another request')
             return
         can_continue = self._parser.their_state is h11.DONE
         if not can_continue:
-            self._fail(
+            self.give_up(
                 'connection ended after the response to another request'
             )
             return
@@ -236,7 +262,8 @@
         if trailing:
             self._feed(trailing)
 
-    def _fail(self, detail):
+    def give_up(self, detail):
+        """Fail the request in flight and close the connection."""
         response_started = self._response_head is not None
         self.close()
         if self._waiter is not None and not self._waiter.done():
@@ -247,17 +274,22 @@
     def close(self):
         """Close at once, so that the target cancels a running request."""
         self._closed = True
+        self._clear_body()
         if self._transport is not None:
             self._transport.abort()
 
 
-async def open_connection(address, port, now, timeout_s):
-    """Return a new `HttpConnection`; raises `ConnectError`."""
+async def open_connection(address, port, now, timeout_s, memory=None):
+    """Return a new `HttpConnection`; raises `ConnectError`.
+
+    Connections with the same `memory` share its bound.
+    """
     loop = asyncio.get_running_loop()
+    memory = memory or response_memory.ResponseMemory()
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: HttpConnection(loop, now), address, port
+                lambda: HttpConnection(loop, now, memory), address, port
             )
     except (TimeoutError, OSError) as error:
         raise ConnectError(f'{address}:{port}: {error!r}') from error
--- a/lavenderstile/edge/target_pools.py
+++ b/lavenderstile/edge/target_pools.py
@@ -1,6 +1,7 @@
 """Pools of keep-alive connections to targets."""
 
 from . import http_client
+from . import response_memory
 
 # After this time without a connection, another target is tried. Within a
 # region a connect takes about a millisecond.
@@ -20,13 +21,19 @@
 class TargetPools:
     """Idle connections of this host, by instance of the target."""
 
-    __slots__ = ('_clock', '_idle', 'opened')
+    __slots__ = ('_clock', '_idle', '_memory', 'opened')
 
     def __init__(self, clock):
         self._clock = clock
         self._idle = {}
+        self._memory = response_memory.ResponseMemory()
         self.opened = 0
 
+    @property
+    def response_memory(self):
+        """Memory of the responses that are being received."""
+        return self._memory
+
     def has_idle(self, instance, needs_fresh=False):
         """Return whether an idle connection can be used."""
         idle = self._idle.get(instance)
@@ -59,6 +66,7 @@
             target.port,
             self._clock.now(),
             min(timeout_s, CONNECT_TIMEOUT_S),
+            self._memory,
         )
 
     def release(self, target, connection, keep_alive_s):
