Order waiting requests by priority over the hosts of a domain

Cause: a request that found no room slept 30 ms and looked again; whoever looked first got the slot. Priorities of routes and workspaces were read and used nowhere.

Change: WaitingRequests orders the waiting requests of a host by priority (that of the workspace goes first), then by the workspace that got the fewest slots, then by age. Updates tell the peers how many requests wait by service and priority, and a less urgent request lets them go first for 60% of its longest wait, so that nothing is starved. A freed slot, a peer's update and a change of targets wake the next request; the interval of 30 ms stays for rooms that come without an event. The log line of a request has its priority and its wait.

Ruled out: strict order without an end of the yielding, which starves the least urgent kind; slots granted by one host (a round trip a request).

--- a/lavenderstile/edge/calls.py
+++ b/lavenderstile/edge/calls.py
@@ -51,11 +51,15 @@
         'failure',
         'key',
         'may_have_run',
+        'priority',
         'request',
         'request_id',
+        'retry_after_s',
         'route',
         'sends',
         'service',
+        'wait_deadline',
+        'waited_s',
         'workspace',
     )
 
@@ -66,6 +70,10 @@
         self.route = route
         self.workspace = workspace
         self.deadline = deadline
+        self.priority = _find_priority(route, workspace)
+        self.wait_deadline = None
+        self.waited_s = 0.0
+        self.retry_after_s = None
         self.service = None
         self.digest = None
         self.excluded = set()
@@ -76,6 +84,13 @@
         self.failure = None
 
 
+def _find_priority(route, workspace):
+    """Return a request's priority; that of a workspace goes first."""
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return route.priority
+
+
 def describe(outcome):
     """Return a short description of an outcome, for logs."""
     match outcome:
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -27,6 +27,7 @@
     sends: dict[str, tuple[int, int, int]]
     registry_contact_at: float
     is_full: bool
+    waiting: dict[str, dict[int, int]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,6 +132,15 @@
         """Return the requests in flight from the domain's other hosts."""
         return self._running.get(instance, 0)
 
+    def has_more_urgent(self, service, priority):
+        """Return whether a more urgent request waits at a peer."""
+        return any(
+            waiting < priority
+            for peer in self._peers.values()
+            if peer.waiting
+            for waiting in peer.waiting.get(service, ())
+        )
+
     def learn_contacts(self, hosts):
         """Add known addresses of hosts, by failure domain."""
         for domain, addresses in hosts.items():
@@ -165,6 +175,7 @@
                 update.sends,
                 now,
                 update.is_full,
+                {},
             )
             self._peers[update.address] = peer
             self.learn_contacts({self._domain: [update.address]})
@@ -179,6 +190,7 @@
         self._count_running(peer.running, -1)
         self._count_running(update.running, 1)
         peer.running = update.running
+        peer.waiting = update.waiting
         peer.admitted.update(update.admitted)
         peer.sends.update(update.sends)
         peer.registry_contact_at = now - update.contact_age_s
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -1,6 +1,7 @@
 """Request path: admission checks, choice of target, sends and response."""
 
 import asyncio
+import contextlib
 import random
 
 import eliot
@@ -46,7 +47,8 @@
 MIN_SLOW_RESPONSE_S = 0.6
 
 # Share of its remaining time that a request may wait for a target with a free
-# slot, and the interval at which it looks for one.
+# slot. It looks for one when an event may have freed a slot, and at this
+# interval, because blocks and load reports expire without an event.
 MAX_WAIT_SHARE = 0.3
 WAIT_POLL_INTERVAL_S = 0.03
 
@@ -79,6 +81,7 @@
         self._pools = parts.pools
         self._guard = parts.guard
         self._reports = parts.reports
+        self._waiting = parts.waiting
         self._metrics = parts.metrics
         self._random = random.Random()
 
@@ -137,6 +140,8 @@
             path=request.path,
             service=call and call.service,
             workspace=call and call.workspace and call.workspace.name,
+            priority=call and call.priority,
+            waited_ms=call and round(call.waited_s * 1000),
             sends=call and call.sends[:MAX_LOGGED_SENDS],
             status=status,
             outcome=outcome,
@@ -239,44 +244,86 @@
 
     async def _forward(self, call):
         """Send the request until a target responds; return the response."""
-        wait_deadline = None
         while True:
+            known = await self._find_target(call)
             now = self._clock.now()
-            remaining_s = call.deadline - now
-            if remaining_s < MIN_REMAINING_S:
+            if call.attempts and not self._may_send_again(call, now):
                 self._give_up(
-                    call, Reason.DEADLINE_EXCEEDED, 'deadline reached'
+                    call, Reason.TARGET_SHED, 'no further attempt allowed'
                 )
-            choice = self._choose(call, now)
-            match choice:
-                case balancing.Chosen(known, _):
-                    if call.attempts and not self._may_send_again(call, now):
-                        self._give_up(
-                            call,
-                            Reason.TARGET_SHED,
-                            'no further attempt allowed',
-                        )
-                    outcome = await self._send_hedged(call, known)
-                    response = self._handle_outcome(call, outcome)
-                    if response is not None:
-                        return response
-                    continue
-                case balancing.Full(wait_s):
-                    work_s = self._health.get_mean_latency(call.service)
-                    should_refuse = wait_s + work_s > remaining_s
-                case balancing.NoTarget():
-                    wait_s = NO_TARGET_RETRY_S
-                    should_refuse = bool(call.attempts)
-            if wait_deadline is None:
-                wait_deadline = now + MAX_WAIT_SHARE * remaining_s
-            if should_refuse or now >= wait_deadline:
-                self._give_up(
-                    call,
-                    Reason.NO_CAPACITY,
-                    'no target has a free slot',
-                    wait_s,
-                )
-            await asyncio.sleep(WAIT_POLL_INTERVAL_S)
+            outcome = await self._send_hedged(call, known)
+            response = self._handle_outcome(call, outcome)
+            if response is not None:
+                return response
+
+    async def _find_target(self, call):
+        """Return the target to send to, after a wait for a slot if needed."""
+        if not self._waiting.must_yield(call.service, call.priority):
+            known = self._try_find_target(call)
+            if known is not None:
+                return known
+        now = self._clock.now()
+        remaining_s = call.deadline - now
+        if call.wait_deadline is None:
+            call.wait_deadline = now + MAX_WAIT_SHARE * remaining_s
+        with self._queue(call, now) as entry:
+            while not self._waiting.is_next(entry, self._clock.now()) or (
+                (known := self._try_find_target(call)) is None
+            ):
+                if self._clock.now() >= call.wait_deadline:
+                    self._give_up(
+                        call,
+                        Reason.NO_CAPACITY,
+                        'no target has a free slot',
+                        call.retry_after_s,
+                    )
+                await self._waiting.wait(entry, WAIT_POLL_INTERVAL_S)
+            entry.has_slot = True
+        return known
+
+    @contextlib.contextmanager
+    def _queue(self, call, now):
+        """Queue the request, which the peers learn, during the block."""
+        entry = self._waiting.add(
+            call.service,
+            call.priority,
+            call.workspace and call.workspace.name,
+            now,
+            call.wait_deadline - now,
+        )
+        self._reports.schedule_update()
+        try:
+            yield entry
+        finally:
+            self._waiting.remove(entry)
+            self._waiting.wake()
+            call.waited_s += self._clock.now() - now
+            self._reports.schedule_update()
+
+    def _try_find_target(self, call):
+        """Return a target with a free slot, or None if one may come free.
+
+        Refuses the request if it can't be served in its time.
+        """
+        now = self._clock.now()
+        remaining_s = call.deadline - now
+        if remaining_s < MIN_REMAINING_S:
+            self._give_up(call, Reason.DEADLINE_EXCEEDED, 'deadline reached')
+        match self._choose(call, now):
+            case balancing.Chosen(known, _):
+                return known
+            case balancing.Full(wait_s):
+                work_s = self._health.get_mean_latency(call.service)
+                is_hopeless = wait_s + work_s > remaining_s
+            case balancing.NoTarget():
+                wait_s = NO_TARGET_RETRY_S
+                is_hopeless = bool(call.attempts)
+        call.retry_after_s = wait_s
+        if is_hopeless:
+            self._give_up(
+                call, Reason.NO_CAPACITY, 'no target has a free slot', wait_s
+            )
+        return None
 
     def _choose(self, call, now):
         kilobytes = len(call.request.body) / 1024
@@ -413,6 +460,7 @@
         finally:
             is_urgent |= self._balancer.is_critical(known, now)
             self._balancer.end(known)
+            self._waiting.wake()
             self._reports.schedule_update(is_urgent=is_urgent)
         call.sends[send_index] += f' {calls.describe(outcome)}'
         self._metrics.count_send(call.service, type(outcome).__name__.lower())
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -23,6 +23,7 @@
 from . import rate_limits as rate_limits_module
 from . import registry
 from . import target_pools
+from . import waiting as waiting_module
 from . import watcher_selection as watcher_selection_module
 
 # The load balancer in front of the hosts sends new connections until two
@@ -59,6 +60,7 @@
         'pools',
         'rate_limits',
         'reports',
+        'waiting',
         'watcher_selection',
     )
 
@@ -70,6 +72,7 @@
         self.fleet = fleet_module.Fleet(
             settings.address, settings.domain, started_ms
         )
+        self.waiting = waiting_module.WaitingRequests(self.fleet)
         self.rate_limits = rate_limits_module.RateLimits()
         self.health = health_module.HealthTracker()
         self.watcher_selection = watcher_selection_module.WatcherSelection(
@@ -183,6 +186,7 @@
             'hosts_heard': parts.fleet.count_reachable(now),
             'hosts_of_domain': sorted(parts.fleet.members),
             'connections': self._callers.open_count,
+            'waiting': parts.waiting.counts,
             'targets': {
                 instance: {
                     'service': known.target.service,
@@ -228,6 +232,7 @@
             for instance in targets - self._targets:
                 self.parts.health.add(instance, bool(self._targets), now)
             self._targets = targets
+            self.parts.waiting.wake()
             self.parts.health.keep(targets)
             self.parts.balancer.keep(targets)
 
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -101,6 +101,7 @@
         self._watcher_selection = parts.watcher_selection
         self._directory = parts.directory
         self._outcomes = parts.outcomes
+        self._waiting = parts.waiting
         self._reports = parts.reports
         self._metrics = parts.metrics
         self._settings = settings
@@ -282,6 +283,7 @@
             )
             if remote_load is not None:
                 self._balancer.record_remote_load(instance, remote_load, now)
+        self._waiting.wake()
         for fault in update.faults:
             self._handle_fault(fault, update.address, now)
         for crash in update.crashes:
@@ -352,6 +354,7 @@
             self._get_contact_age(),
             is_full,
             self._is_leaving,
+            self._waiting.counts,
         )
 
     def _get_contact_age(self):
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -56,7 +56,8 @@
     latency in seconds and the load that other domains cause. The other counts
     are totals since the start of the process: `admitted` has the admitted
     requests by workspace, and `sends` by service the requests, the attempts
-    after the first and the failed requests. `revision` is the latest registry
+    after the first and the failed requests. `waiting` has the requests that
+    wait for a slot, by service and priority. `revision` is the latest registry
     revision that the sender has, `contact_age_s` the time since the registry
     last responded to the sender. Unless the update `is_full`, unchanged
     counts are left out.
@@ -75,6 +76,7 @@
     contact_age_s: float
     is_full: bool = True
     is_leaving: bool = False
+    waiting: dict[str, dict[int, int]] = {}
 
 
 class Digest(msgspec.Struct, tag='d', array_like=True):
