--- a/tests/edge/test_endless_responses.py
+++ b/tests/edge/test_endless_responses.py
@@ -91,7 +91,7 @@
     raise ValueError('no VmRSS in /proc/self/status')
 
 
-class Watch:
+class ResourceMonitor:
     """Highest memory and longest lag of the event loop."""
 
     def __init__(self):
@@ -121,8 +121,8 @@
         """Send a payment to each of many such targets; return statuses."""
         for _ in range(TARGETS):
             await self.add_target(*[behaviour] * TARGETS)
-        self.watch = Watch()
-        watching = asyncio.create_task(self.watch.run())
+        self.monitor = ResourceMonitor()
+        watching = asyncio.create_task(self.monitor.run())
         self.addCleanup(watching.cancel)
         async with asyncio.timeout(edge_case.LIMIT_S):
             responses = await asyncio.gather(
@@ -135,8 +135,8 @@
         for status, _, body in await self.play(behaviour):
             self.assertIn(status, (502, 504))
             self.assertIn(b'may-have-run', body)
-        self.assertLess(self.watch.growth, HOST_MEMORY_BYTES / 2)
-        self.assertLess(self.watch.lag_s, MAX_LOOP_LAG_S)
+        self.assertLess(self.monitor.growth, HOST_MEMORY_BYTES / 2)
+        self.assertLess(self.monitor.lag_s, MAX_LOOP_LAG_S)
         self.assertEqual(self.parts.balancer.own_running, {})
         self.assertEqual(self.parts.pools.response_memory.total, 0)
 
