Log the limits that targets state in their responses

Change: the adapter decodes the header; a host logs a limit that is new, changed or lifted, and lists it in /state. Nothing acts on it yet.

Ruled out: counting in metrics, which can't name the target.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -79,6 +79,7 @@
         self._health = parts.health
         self._outcomes = parts.outcomes
         self._pools = parts.pools
+        self._target_limits = parts.target_limits
         self._guard = parts.guard
         self._reports = parts.reports
         self._waiting = parts.waiting
@@ -603,6 +604,7 @@
                 instance, 'address belongs to another target'
             )
             return Rejected(f'{instance}: address belongs to another target')
+        self._target_limits.record(instance, metadata.limit)
         if metadata.not_run:
             self._record_fault(instance, FaultKind.SHED)
             return Rejected(f'{instance}: rejected with {response.status}')
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -22,6 +22,7 @@
 from . import outcomes as outcomes_module
 from . import rate_limits as rate_limits_module
 from . import registry
+from . import target_limits as target_limits_module
 from . import target_pools
 from . import waiting as waiting_module
 from . import watcher_selection as watcher_selection_module
@@ -60,6 +61,7 @@
         'pools',
         'rate_limits',
         'reports',
+        'target_limits',
         'waiting',
         'watcher_selection',
     )
@@ -88,6 +90,7 @@
         )
         self.budgets = budgets_module.Budgets(settings.limits, clock.now())
         self.pools = target_pools.TargetPools(clock)
+        self.target_limits = target_limits_module.TargetLimits()
         self.guard = crash_guard.CrashGuard()
         self.reports = mesh_module.Reports()
 
@@ -195,6 +198,7 @@
                     'avoided': parts.health.is_avoided(instance, now),
                     'draining': known.target.is_draining,
                     'cold_s': max(0.0, known.cold_until - now),
+                    'limit': parts.target_limits.get_rate(instance),
                 }
                 for instance, known in parts.directory.targets.items()
             },
@@ -235,6 +239,7 @@
             self.parts.waiting.wake()
             self.parts.health.keep(targets)
             self.parts.balancer.keep(targets)
+            self.parts.target_limits.keep(targets)
 
     async def run(self):
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
--- a/lavenderstile/edge/parsed_headers.py
+++ b/lavenderstile/edge/parsed_headers.py
@@ -17,12 +17,32 @@
     fault: str | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """The target takes `rate` requests a second from all hosts together."""
+
+    rate: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unlimited:
+    """The target states no limit."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """The target states a limit that is not a number."""
+
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ParsedResponseHeaders:
     """Parsed headers of a target's response.
 
     `is_signed` means that the response is from the target itself. `load` is
-    the pair of running and waiting requests.
+    the pair of running and waiting requests. `limit` is what the target states
+    about the rate that it takes.
     """
 
     request_id: str | None
@@ -33,3 +53,4 @@
     load: tuple[int, int] | None
     cold_s: float | None
     keep_alive_s: float | None
+    limit: Limited | Unlimited | UnreadableLimit = Unlimited()
--- a/lavenderstile/platform/headers.py
+++ b/lavenderstile/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers that callers, hosts and targets exchange on the platform."""
 
+import math
+
 from .. import headers as header_tools
 from ..edge import parsed_headers
 
@@ -11,6 +13,7 @@
 NOT_EXECUTED = b'x-lavenderstile-not-executed'
 LOAD = b'x-lavenderstile-server-load'
 WARMUP = b'x-lavenderstile-warmup-ms'
+LIMIT = b'server-limit'
 AUTHORIZATION = b'authorization'
 
 KEY_SCHEME = 'token'
@@ -88,6 +91,7 @@
             load=_read_load(find_header(headers, LOAD)),
             cold_s=_read_milliseconds(find_header(headers, WARMUP)),
             keep_alive_s=_read_keep_alive(find_header(headers, b'keep-alive')),
+            limit=_read_limit(find_header(headers, LIMIT)),
         )
 
     def filter_response_headers(self, headers):
@@ -129,6 +133,19 @@
         return None
 
 
+def _read_limit(value):
+    """Return what a target states about its limit, in requests a second."""
+    if value is None:
+        return parsed_headers.Unlimited()
+    try:
+        rate = float(value)
+    except ValueError:
+        rate = math.nan
+    if not 0 <= rate < math.inf:
+        return parsed_headers.UnreadableLimit(value.decode('latin-1'))
+    return parsed_headers.Limited(rate)
+
+
 def _read_keep_alive(value):
     """Return the idle time-out of a target's connection, in seconds."""
     for part in (value or b'').split(b','):
--- a/tests/platform_adapter/test_boundary.py
+++ b/tests/platform_adapter/test_boundary.py
@@ -11,6 +11,7 @@
 # name for each of them.
 NAMES = (
     r'x-lavenderstile-',
+    r'server-limit',
     r'kv-(key|range|watch)',
     r'op/(config|evacuate)',
     r'(?<![./\w])servers/',
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from lavenderstile.edge import parsed_headers
 from lavenderstile.platform import headers
 
 
@@ -71,3 +72,18 @@
             [(headers.NOT_EXECUTED, b'1')]
         )
         self.assertEqual(forwarded, [])
+
+    def test_a_limit_is_a_decimal_number_of_requests_a_second(self):
+        for value, rate in ((b'2', 2.0), (b'0.5', 0.5), (b'0', 0.0)):
+            with self.subTest(value=value):
+                found = self.read(200, (headers.LIMIT, value)).limit
+                self.assertEqual(found, parsed_headers.Limited(rate))
+        self.assertEqual(self.read(200).limit, parsed_headers.Unlimited())
+
+    def test_a_limit_that_is_no_rate_is_unreadable(self):
+        """Guards against a garbled header that lifts a target's limit."""
+        for value in (b'', b'few', b'-1', b'nan', b'inf'):
+            with self.subTest(value=value):
+                found = self.read(200, (headers.LIMIT, value)).limit
+                expected = parsed_headers.UnreadableLimit(value.decode())
+                self.assertEqual(found, expected)
