--- a/emulator/registered_target.py
+++ b/emulator/registered_target.py
@@ -1,7 +1,8 @@
 """Stand-in for a target of the users' platform, on raw sockets.
 
 The next behaviour of a script handles each request; with an empty script the
-response is a success. Behaviours are functions of (target, request, writer).
+target's default behaviour does, which is to send a success. Behaviours are
+functions of (target, request, writer).
 """
 
 import asyncio
@@ -104,6 +105,7 @@
 
     def __init__(self, script=()):
         self.script = list(script)
+        self.behave = answer
         self.seen = []
         self.run_ids = []
         self.aborted = 0
@@ -116,7 +118,7 @@
         try:
             while (request := await self._read(parser, reader)) is not None:
                 self.seen.append(request)
-                behaviour = self.script.pop(0) if self.script else answer
+                behaviour = self.script.pop(0) if self.script else self.behave
                 if behaviour not in NON_EXECUTING_BEHAVIOURS:
                     self.run_ids.append(request.request_id)
                 await self._run(behaviour, request, reader, writer)
--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -1,11 +1,14 @@
 """Tests of a fleet of host processes with the platform's protocol."""
 
 import asyncio
+import itertools
+import time
 import unittest
 
 import httpx
 
 from emulator import edge_fleet
+from emulator import registered_target
 from emulator import registry_store
 from tests import fleet_slots
 
@@ -129,3 +132,77 @@
         text = (await self.client.get(url)).text
         self.assertIn('lavenderstile_edge_requests_total', text)
         self.assertIn('lavenderstile_edge_request_seconds', text)
+
+
+class TargetLimitTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against hosts that together exceed the limit of a target.
+
+    A target in need states how many requests a second it takes from all hosts
+    together. Hosts that passed such a response on kept sending to it.
+    """
+
+    HOSTS = 6
+    LIMIT_PER_S = 1.0
+
+    # The other targets take this long, which makes the one in need attractive.
+    WORK_S = 0.1
+
+    # The limit binds this long after the target first stated it, and may be
+    # exceeded by half and a few requests in each window.
+    SETTLE_S = 3.0
+    WINDOW_S = 4.0
+    OVERAGE = 1.5
+    SLACK = 5
+
+    async def asyncSetUp(self):
+        self.enterContext(fleet_slots.hold_fleet_slot())
+        self.fleet = await self.enterAsyncContext(
+            edge_fleet.run_edge_fleet(hosts=self.HOSTS, targets=6)
+        )
+        self.client = await self.enterAsyncContext(
+            httpx.AsyncClient(trust_env=False, timeout=LIMIT_S)
+        )
+
+    async def send_requests(self, duration_s, interval_s):
+        """Send requests through each host in turn; return the statuses."""
+        ends_at = time.monotonic() + duration_s
+        tasks = []
+        for number in itertools.count():
+            if time.monotonic() > ends_at:
+                break
+            host = self.fleet.hosts[number % self.HOSTS]
+            headers = make_headers(f'r{number}')
+            url = host.caller_url + '/read/1'
+            request = self.client.get(url, headers=headers)
+            tasks.append(asyncio.create_task(request))
+            await asyncio.sleep(interval_s)
+        responses = await asyncio.gather(*tasks)
+        return [response.status_code for response in responses]
+
+    async def test_the_limit_holds_for_all_hosts_together(self):
+        arrivals = []
+
+        async def answer_slowly(target, request, writer):
+            await asyncio.sleep(self.WORK_S)
+            await registered_target.answer(target, request, writer)
+
+        async def answer_with_limit(target, request, writer):
+            arrivals.append(time.monotonic())
+            line = f'server-limit: {self.LIMIT_PER_S}'
+            writer.write(
+                registered_target.render(request.request_id, headers=[line])
+            )
+
+        for target in self.fleet.targets.values():
+            target.behave = answer_slowly
+        self.fleet.targets['i-0'].behave = answer_with_limit
+        statuses = await self.send_requests(10.0, 0.02)
+        bound_at = arrivals[0] + self.SETTLE_S
+        late = [at for at in arrivals if at >= bound_at]
+        allowed = self.OVERAGE * self.WINDOW_S * self.LIMIT_PER_S + self.SLACK
+        most = max(
+            sum(start <= at < start + self.WINDOW_S for at in late)
+            for start in late
+        )
+        self.assertLessEqual(most, allowed)
+        self.assertEqual(set(statuses), {200})
