Keep to the limits that targets state, over all hosts together

Cause: hosts read the load, the warm-up and the signature from responses, but not the limit, so a limited target was chosen as if it were well.

Change: a statement is passed to the domain with the next update and to other domains with the digests; the newest one counts. Each host has a token bucket for each limited target and takes from it what it and the other hosts of its domain send. Hosts of other domains leave the target alone, unless their domain has no target of the service. Requests that only limited targets could serve learn how long the next token takes.

Why this works: the sum is counted, so it does not grow with the number of hosts; late updates make a debt that the following tokens pay.

Ruled out: a limit that each host keeps by itself (the sum is N times the limit), and two owners by hashing as for cold targets (callers of all other hosts would get nothing from a service whose targets are all limited).

--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -111,15 +111,24 @@
         '_own_running',
         '_random',
         '_remote_load',
+        '_target_limits',
         '_used_at',
     )
 
     def __init__(
-        self, directory, fleet, health, outcomes, floor_share, rng=None
+        self,
+        directory,
+        fleet,
+        health,
+        outcomes,
+        target_limits,
+        floor_share,
+        rng=None,
     ):
         self._directory = directory
         self._fleet = fleet
         self._health = health
+        self._target_limits = target_limits
         self._outcomes = outcomes
         self._floor_share = floor_share
         self._used_at = {}
@@ -140,6 +149,7 @@
         self._used_at[instance] = now
         if known.cold_until > now:
             self._cold_start_limiter.record(known, now)
+        self._target_limits.record_send(instance, now)
 
     def record_use(self, instances, now):
         """Record that other hosts of the domain use these targets."""
@@ -230,9 +240,11 @@
         """Return whether events at this target are reported without delay.
 
         Otherwise other hosts might send to a target without free slots, or
-        each try a target in doubt.
+        each try a target in doubt, or each use the tokens of a limited one.
         """
         instance = known.target.instance
+        if self._target_limits.get_rate(instance) is not None:
+            return True
         is_loaded = (
             self.get_running(instance)
             > known.target.slots * CRITICAL_LOAD_SHARE
@@ -253,7 +265,7 @@
         """
         best = None
         best_score = None
-        shortest_full_wait_s = None
+        shortest_full_wait_s = math.inf
         cold_rate = self._get_cold_rate(service)
         unused = self._find_unused(service, is_idempotent, now)
         for known in self._directory.list_targets(service):
@@ -268,14 +280,16 @@
                 )
             ):
                 continue
+            limit_wait_s = self._target_limits.get_wait(target, now)
+            if limit_wait_s:
+                shortest_full_wait_s = min(shortest_full_wait_s, limit_wait_s)
+                continue
             running = self._estimate_running(instance, now)
             latency_s = self._health.estimate_latency(instance, service, now)
             waiting = running + 1 - target.slots
             wait_s = max(0, waiting) * latency_s / target.slots
             if waiting > QUEUE_PER_SLOT * target.slots:
-                shortest_full_wait_s = min(
-                    shortest_full_wait_s or wait_s, wait_s
-                )
+                shortest_full_wait_s = min(shortest_full_wait_s, wait_s)
                 continue
             score = (
                 wait_s
@@ -300,7 +314,7 @@
             return best
         return (
             NoTarget()
-            if shortest_full_wait_s is None
+            if shortest_full_wait_s == math.inf
             else Full(shortest_full_wait_s)
         )
 
--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -77,6 +77,7 @@
     __slots__ = (
         '_by_service',
         '_configuration',
+        '_domains',
         '_evacuated',
         '_grace_until',
         '_revision',
@@ -87,6 +88,7 @@
         self._configuration = None
         self._targets = {}
         self._by_service = {}
+        self._domains = {}
         self._evacuated = frozenset()
         self._revision = 0
         self._grace_until = 0.0
@@ -115,6 +117,10 @@
         """Return the targets of a service that may get new requests."""
         return self._by_service.get(service, ())
 
+    def get_domains(self, service):
+        """Return the failure domains with targets of a service in use."""
+        return self._domains.get(service, frozenset())
+
     def begin_grace(self, now):
         """Start the grace period after an outage of the registry."""
         self._grace_until = now + LAPSE_GRACE_S
@@ -233,3 +239,7 @@
             if target.is_draining or target.domain in self._evacuated:
                 continue
             self._by_service.setdefault(target.service, []).append(known)
+        self._domains = {
+            service: frozenset(known.target.domain for known in targets)
+            for service, targets in self._by_service.items()
+        }
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -28,6 +28,7 @@
     registry_contact_at: float
     is_full: bool
     waiting: dict[str, dict[int, int]]
+    limited_sends: dict[str, int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,12 +107,17 @@
 
     def count_reachable(self, now):
         """Return the number of reachable hosts, including this one."""
-        remote = sum(
-            domain.size
-            for domain in self._domains.values()
+        return sum(self.get_domain_sizes(now).values())
+
+    def get_domain_sizes(self, now):
+        """Return the number of reachable hosts by failure domain."""
+        sizes = {
+            name: domain.size
+            for name, domain in self._domains.items()
             if now - domain.last_contact_at < 2 * PEER_TIMEOUT_S
-        )
-        return 1 + len(self._peers) + remote
+        }
+        sizes[self._domain] = 1 + len(self._peers)
+        return sizes
 
     def get_size(self, now):
         """Return the size of the fleet, kept for a while in a partition."""
@@ -153,18 +159,18 @@
     def apply_update(self, update, now):
         """Apply a peer's update; return its counts since the last one.
 
-        These are the admitted requests by workspace, and the requests,
-        retries and failures by service. For a peer that is new or has
-        restarted, the present counts are the baseline, because the time of
-        their requests is not known.
+        These are the admitted requests by workspace, the requests, retries
+        and failures by service, and the requests to limited targets. For a
+        peer that is new or has restarted, the present counts are the
+        baseline, because the time of their requests is not known.
         """
         peer = self._peers.get(update.address)
         if update.is_leaving:
             self._drop(update.address)
-            return {}, {}
+            return {}, {}, {}
         if peer is None or peer.started_ms != update.started_ms:
             if peer is not None and peer.started_ms > update.started_ms:
-                return {}, {}
+                return {}, {}, {}
             self._drop(update.address)
             peer = Peer(
                 update.address,
@@ -176,6 +182,7 @@
                 now,
                 update.is_full,
                 {},
+                update.limited_sends,
             )
             self._peers[update.address] = peer
             self.learn_contacts({self._domain: [update.address]})
@@ -184,18 +191,21 @@
             # include old requests: it becomes the baseline.
             peer.admitted = update.admitted | peer.admitted
             peer.sends = update.sends | peer.sends
+            peer.limited_sends = update.limited_sends | peer.limited_sends
             peer.is_full = update.is_full
         added = _subtract(update.admitted, peer.admitted)
         sent = _subtract_counts(update.sends, peer.sends)
+        limited = _subtract(update.limited_sends, peer.limited_sends)
         self._count_running(peer.running, -1)
         self._count_running(update.running, 1)
         peer.running = update.running
         peer.waiting = update.waiting
         peer.admitted.update(update.admitted)
         peer.sends.update(update.sends)
+        peer.limited_sends.update(update.limited_sends)
         peer.registry_contact_at = now - update.contact_age_s
         peer.last_contact_at = now
-        return added, sent
+        return added, sent, limited
 
     def apply_digest(self, digest, now):
         """Apply another domain's digest; return its counts since the last.
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -604,7 +604,9 @@
                 instance, 'address belongs to another target'
             )
             return Rejected(f'{instance}: address belongs to another target')
-        self._target_limits.record(instance, metadata.limit)
+        self._target_limits.record(
+            instance, metadata.limit, now - duration_s, now
+        )
         if metadata.not_run:
             self._record_fault(instance, FaultKind.SHED)
             return Rejected(f'{instance}: rejected with {response.status}')
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -81,16 +81,19 @@
             self.fleet
         )
         self.outcomes = outcomes_module.Outcomes()
+        self.target_limits = target_limits_module.TargetLimits(
+            self.directory, self.fleet
+        )
         self.balancer = balancing.Balancer(
             self.directory,
             self.fleet,
             self.health,
             self.outcomes,
+            self.target_limits,
             settings.limits.floor_share,
         )
         self.budgets = budgets_module.Budgets(settings.limits, clock.now())
         self.pools = target_pools.TargetPools(clock)
-        self.target_limits = target_limits_module.TargetLimits()
         self.guard = crash_guard.CrashGuard()
         self.reports = mesh_module.Reports()
 
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -15,6 +15,7 @@
 from . import change_batches
 from . import health as health_module
 from . import messages
+from . import target_limits
 
 # Minimum time between two updates to the domain.
 UPDATE_INTERVAL_S = 0.012
@@ -94,6 +95,7 @@
         self._clock = parts.clock
         self._fleet = parts.fleet
         self._rate_limits = parts.rate_limits
+        self._target_limits = parts.target_limits
         self._balancer = parts.balancer
         self._budgets = parts.budgets
         self._health = parts.health
@@ -112,6 +114,8 @@
         self._domain_admitted = {}
         self._reported_admitted = {}
         self._reported_sends = {}
+        self._reported_limits = {}
+        self._reported_limited_sends = {}
         self._crashes = []
         self._change_log = change_batches.ChangeLog()
         self._is_leaving = False
@@ -263,7 +267,7 @@
         if update.address == self._fleet.address:
             return
         is_new = update.address not in self._fleet.peers
-        added, sent = self._fleet.apply_update(update, now)
+        added, sent, limited = self._fleet.apply_update(update, now)
         for service, (requests, retries, failed) in sent.items():
             self._budgets.record_peer(service, requests, retries, now)
             self._outcomes.record(service, requests, failed, now)
@@ -276,6 +280,10 @@
             self._send(update.address, messages.pack(self._make_update()))
         self._rate_limits.record(added, now)
         self._count_admitted(added)
+        self._target_limits.record_reports(
+            update.limits, target_limits.Source.PEER, now
+        )
+        self._target_limits.record_peer_sends(limited, now)
         for instance, success in update.successes.items():
             service, latency_s, remote_load = success
             self._health.record_success(
@@ -308,6 +316,9 @@
             )
         self._watcher_selection.record_peer_revision(digest.revision)
         self._rate_limits.record(added, now)
+        self._target_limits.record_reports(
+            digest.limits, target_limits.Source.OTHER_DOMAIN, now
+        )
         for crash in digest.crashes:
             self._guard.record(crash.digest, crash.instance, now, False)
         if sender not in self._fleet.peers:
@@ -337,9 +348,21 @@
         faults, successes = reports
         admitted = self._rate_limits.admitted
         sends = self._budgets.own
+        limits = self._target_limits.get_reports(
+            target_limits.Source.RESPONSE, self._clock.now()
+        )
+        limited_sends = self._target_limits.sends
         if not is_full:
             admitted = _find_changed(admitted, self._reported_admitted)
             sends = _find_changed(sends, self._reported_sends)
+            limits = {
+                instance: report
+                for instance, report in limits.items()
+                if self._reported_limits.get(instance) != report.rate
+            }
+            limited_sends = _find_changed(
+                limited_sends, self._reported_limited_sends
+            )
         return messages.Update(
             self._fleet.address,
             self._fleet.domain,
@@ -355,6 +378,8 @@
             is_full,
             self._is_leaving,
             self._waiting.counts,
+            limits,
+            limited_sends,
         )
 
     def _get_contact_age(self):
@@ -403,6 +428,10 @@
         update = self._make_update(self._reports.take(), crashes, is_full)
         self._reported_admitted.update(update.admitted)
         self._reported_sends.update(update.sends)
+        self._reported_limits.update(
+            {name: report.rate for name, report in update.limits.items()}
+        )
+        self._reported_limited_sends.update(update.limited_sends)
         data = messages.pack(update)
         for address in self._fleet.peers:
             self._send(address, data)
@@ -426,6 +455,9 @@
                 self._outcomes.totals,
                 self._directory.revision,
                 self._crashes,
+                self._target_limits.get_reports(
+                    target_limits.Source.PEER, now
+                ),
             )
         )
         self._crashes = []
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -37,6 +37,16 @@
     instance: str
 
 
+class LimitReport(msgspec.Struct, array_like=True):
+    """The limit that a target stated, in requests a second from all hosts.
+
+    Without a `rate` it was lifted. `age_s` is the age of the statement.
+    """
+
+    rate: float | None
+    age_s: float
+
+
 class RegistryChanges(msgspec.Struct, tag='n', array_like=True):
     """Changes that a host read from the registry.
 
@@ -59,8 +69,10 @@
     after the first and the failed requests. `waiting` has the requests that
     wait for a slot, by service and priority. `revision` is the latest registry
     revision that the sender has, `contact_age_s` the time since the registry
-    last responded to the sender. Unless the update `is_full`, unchanged
-    counts are left out.
+    last responded to the sender. `limits` has the limits that targets stated,
+    and `limited_sends` the requests to targets while they were limited, since
+    the start of the process. Unless the update `is_full`, unchanged counts and
+    limits are left out.
     """
 
     address: str
@@ -77,6 +89,8 @@
     is_full: bool = True
     is_leaving: bool = False
     waiting: dict[str, dict[int, int]] = {}
+    limits: dict[str, LimitReport] = {}
+    limited_sends: dict[str, int] = {}
 
 
 class Digest(msgspec.Struct, tag='d', array_like=True):
@@ -85,7 +99,8 @@
     `origin` is the host that sums them up for its domain. `admitted` has the
     domain's admitted requests by workspace since `started_ms`. `hosts` are
     some of the domain's hosts, `size` is the number of all. `outcomes` has
-    the domain's requests and failures by service.
+    the domain's requests and failures by service, `limits` the limits that
+    targets stated.
     """
 
     origin: str
@@ -97,6 +112,7 @@
     outcomes: dict[str, tuple[int, int]]
     revision: int
     crashes: list[Crash]
+    limits: dict[str, LimitReport] = {}
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/lavenderstile/edge/rate_limits.py
+++ b/lavenderstile/edge/rate_limits.py
@@ -23,11 +23,12 @@
 
 
 class TokenBucket:
-    """Token bucket of one workspace."""
+    """Token bucket of one workspace or target."""
 
-    __slots__ = ('_burst', '_level', '_rate', '_refilled_at')
+    __slots__ = ('_burst', '_level', '_max_debt_s', '_rate', '_refilled_at')
 
-    def __init__(self, rate, burst, now):
+    def __init__(self, rate, burst, now, max_debt_s=MAX_DEBT_S):
+        self._max_debt_s = max_debt_s
         self._rate = rate
         self._burst = max(1.0, burst)
         self._level = max(1.0, self._burst * INITIAL_FILL_SHARE)
@@ -46,15 +47,22 @@
         self._level = min(self._level, self._burst)
 
     def record(self, count, now, share):
-        """Take tokens for requests that other hosts admitted."""
+        """Take tokens for requests that were admitted without asking."""
         self._refill(now, share)
-        self._level = max(self._level - count, -MAX_DEBT_S * self._rate)
+        lowest = -self._max_debt_s * self._rate
+        self._level = max(self._level - count, lowest)
 
     def take(self, now, share):
         """Admit a request; return 0, or the seconds until one is allowed."""
+        wait_s = self.get_wait(now, share)
+        if not wait_s:
+            self._level -= 1.0
+        return wait_s
+
+    def get_wait(self, now, share):
+        """Return 0 if a request is allowed, or the seconds until one is."""
         self._refill(now, share)
         if self._level >= 1.0:
-            self._level -= 1.0
             return 0.0
         rate = max(self._rate * share, 0.01)
         wait_s = (1.0 - self._level) / rate
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -8,6 +8,7 @@
 from lavenderstile.edge import messages
 from lavenderstile.edge import models
 from lavenderstile.edge import outcomes
+from lavenderstile.edge import target_limits
 
 
 def make_target(instance, **changes):
@@ -99,6 +100,9 @@
         self.fleet = fleet.Fleet(address, domain, 1)
         self.health = health.HealthTracker()
         self.outcomes = outcomes.Outcomes()
+        self.target_limits = target_limits.TargetLimits(
+            self.directory, self.fleet
+        )
         for target in targets:
             self.health.add(target.instance, False, now)
         self.balancer = balancing.Balancer(
@@ -106,6 +110,7 @@
             self.fleet,
             self.health,
             self.outcomes,
+            self.target_limits,
             0.7,
             rng,
         )
--- a/tests/edge/model_check.py
+++ b/tests/edge/model_check.py
@@ -112,7 +112,7 @@
 
     def apply_update(self, update, now):
         """Apply a peer's update as the mesh does."""
-        added, sent = self.fleet.apply_update(update, now)
+        added, sent, _ = self.fleet.apply_update(update, now)
         for service, (requests, retries, _) in sent.items():
             self.budgets.record_peer(service, requests, retries, now)
         self.rate_limits.record(added, now)
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -33,6 +33,7 @@
         clock=clocks.Clock(),
         fleet=view,
         rate_limits=types.SimpleNamespace(admitted={'shop': 1}),
+        target_limits=bench.target_limits,
         balancer=bench.balancer,
         budgets=types.SimpleNamespace(own={}),
         health=bench.health,
