Log when the registry has been restored from an older copy

Change: the store's client decodes it and logs each change. Nothing acts on it yet. Ruled out: logging each revision, at several lines a second.

--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .. import errors
+from .. import headers as header_tools
 from ..edge import directory
 from ..edge import http_client
 from ..edge import registry
@@ -25,6 +26,10 @@
 # of probes.
 TCP_KEEPALIVE = (1, 1, 2)
 
+# Header of all responses; it rises by one each time the store is restored from
+# an older copy.
+ERA = b'store-era'
+
 # Limit for the pages of one read; a page has at most about 500 items.
 MAX_PAGES = 1000
 
@@ -54,6 +59,7 @@
         self._address = address
         self._clock = clock
         self._connection = None
+        self._era = None
 
     async def read_all(self):
         """Return a `Snapshot` of the whole store."""
@@ -109,12 +115,20 @@
         ) as error:
             self._close_connection()
             raise errors.PlatformError(f'{call}: {error!r}') from error
+        self._note_era(response.headers)
         if response.status == 410:
             raise registry.HistoryLost
         if response.status != 200:
             raise errors.PlatformError(f'{call}: status {response.status}')
         return response.body
 
+    def _note_era(self, headers):
+        """Log when the store has been restored."""
+        era = _read_era(headers)
+        if era != self._era:
+            eliot.log_message('registry_era', era=era, before=self._era)
+            self._era = era
+
     async def _exchange(self, url):
         connection = self._connection
         if connection is None or not connection.is_open:
@@ -135,6 +149,19 @@
             self._connection = None
 
 
+def _read_era(headers):
+    """Return how often the store was restored; 0 if it does not say so."""
+    text = header_tools.find_header(headers, ERA)
+    if text is None:
+        return 0
+    try:
+        return int(text)
+    except ValueError:
+        raise errors.PlatformError(
+            f'Store-Era is not a number: {text!r}'
+        ) from None
+
+
 def _parse(call, body, kind):
     try:
         return msgspec.json.decode(body, type=kind)
