Reproduce the CONFIG break after a restored store in failing tests

The stand-in of the store can be restored from a copy; it names its era and answers 410 to revisions that it doesn't have. A host that keeps watching never reads version 7 at a revision that it knew, and of eight host processes those that leave the calls to the watchers keep version 7 when 9 is accepted.

Ruled out: an outage of 2 s in the second test; all hosts then call the store themselves, get 410 and read anew, and the test passes.

--- a/emulator/registry_store.py
+++ b/emulator/registry_store.py
@@ -31,6 +31,7 @@
 
     def __init__(self):
         self.mode = 'normal'
+        self.era = 1
         self.calls = []
         self._items = {}
         self._history = []
@@ -68,6 +69,17 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self):
+        """Return a copy of the items and the history."""
+        return dict(self._items), list(self._history), self._revision
+
+    def restore(self, copy):
+        """Replace the contents by a copy; revisions are given out again."""
+        items, history, self._revision = copy
+        self._items = dict(items)
+        self._history = list(history)
+        self.era += 1
+
     def compact(self):
         """Discard the history of changes."""
         self._history.clear()
@@ -87,7 +99,9 @@
         }
 
     async def watch(self, prefix, after, wait_s):
-        """Return the events after a revision, or None if compacted."""
+        """Return the events after a revision, or None if they are unknown."""
+        if after > self._revision:
+            return None
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(wait_s, WAIT_LIMIT_S)):
                 while self._revision <= after:
@@ -116,7 +130,7 @@
         store.calls.append((call, query))
         match store.mode:
             case 'busy':
-                await serving.send_json(send, 503, {'error': 'busy'})
+                await self._send(send, 503, {'error': 'busy'})
                 return
             case 'silent':
                 await serving.wait_for_disconnect(receive)
@@ -126,16 +140,20 @@
                 page = store.read_range(
                     query['prefix'], query.get('after', '')
                 )
-                await serving.send_json(send, 200, page)
+                await self._send(send, 200, page)
             case 'kv-watch':
                 wait_s = int(query.get('waitMs', 0)) / 1000
                 changes = await store.watch(
                     query['prefix'], int(query['after']), wait_s
                 )
                 status = 410 if changes is None else 200
-                await serving.send_json(send, status, changes or {})
+                await self._send(send, status, changes or {})
             case _:
-                await serving.send_json(send, 404, {'error': 'no such call'})
+                await self._send(send, 404, {'error': 'no such call'})
+
+    async def _send(self, send, status, body):
+        era = (b'store-era', str(self._store.era).encode())
+        await serving.send_json(send, status, body, [era])
 
 
 @contextlib.asynccontextmanager
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -158,6 +158,28 @@
         self.assertEqual(self.directory.configuration.version, 3)
 
 
+class RestoredTest(WatcherCase):
+    """Guards against changes that are skipped after a restoration.
+
+    A registry that is restored from an older copy gives out its revisions
+    again; a host that knew them took the new changes for old ones.
+    """
+
+    async def test_changes_at_known_revisions_are_read(self):
+        self.put_configuration(3)
+        copy = self.store.copy()
+        self.put_configuration(5)
+        self.put_target()
+        self.start()
+        await self.wait_until(self.list_instances)
+        self.store.restore(copy)
+        self.put_configuration(5)
+        self.put_configuration(7)
+        await self.wait_until(
+            lambda: self.directory.configuration.version == 7
+        )
+
+
 class SharingTest(WatcherCase):
     """Guards against 48 hosts that all watch the registry themselves."""
 
--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -206,3 +206,60 @@
         )
         self.assertLessEqual(most, allowed)
         self.assertEqual(set(statuses), {200})
+
+
+class RestoredRegistryTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against hosts that miss a change after the store was restored.
+
+    Hosts that leave the calls to others did not notice that revisions were
+    given out again, and kept the earlier configuration for good.
+    """
+
+    HOSTS = 8
+
+    # Short enough that only the watchers notice the outage.
+    OUTAGE_S = 0.8
+
+    # A confirmed change has to be in force within this time.
+    APPLY_S = 2.0
+
+    async def asyncSetUp(self):
+        self.enterContext(fleet_slots.hold_fleet_slot())
+        self.fleet = await self.enterAsyncContext(
+            edge_fleet.run_edge_fleet(hosts=self.HOSTS, targets=2)
+        )
+        self.client = await self.enterAsyncContext(
+            httpx.AsyncClient(trust_env=False, timeout=LIMIT_S)
+        )
+
+    async def get_versions(self):
+        """Return the version in force on each host."""
+        versions = []
+        for host in self.fleet.hosts:
+            url = f'http://{host.address}:{edge_fleet.ADMIN_PORT}/state'
+            state = (await self.client.get(url)).json()
+            versions.append(state['version'])
+        return versions
+
+    def put_version(self, version):
+        """Publish a configuration."""
+        data = registry_store.describe_configuration(version)
+        self.fleet.store.put('op/config', data)
+
+    async def test_a_change_is_in_force_on_all_hosts(self):
+        store = self.fleet.store
+        await asyncio.sleep(self.APPLY_S)
+        copy = store.copy()
+        self.put_version(5)
+        self.put_version(7)
+        await asyncio.sleep(self.APPLY_S)
+        self.assertEqual(set(await self.get_versions()), {7})
+        store.mode = 'busy'
+        await asyncio.sleep(self.OUTAGE_S)
+        store.restore(copy)
+        store.mode = 'normal'
+        self.put_version(7)
+        await asyncio.sleep(self.APPLY_S)
+        self.put_version(9)
+        await asyncio.sleep(self.APPLY_S)
+        self.assertEqual(set(await self.get_versions()), {9})
