Notice when the registry was restored and gives out its revisions again

Cause: a host knew its place in the registry's history by the revision alone. After a restoration the new changes have revisions that the host knows, so it skipped them; hosts that leave the calls to the watchers of their domain never got the 410 that would have made them read anew. For the same reason they dropped the batches of their peers, and hosts that had read anew kept calling for a revision that the registry didn't have yet. The class of fault: a counter that can go back, used as a time.

Change: a position is an era and a revision; updates, digests and batches carry both. A response of another era, or a peer that names a newer one, makes a host read everything. Entries of one start of a target are ordered by their sequence, so that one from the copy doesn't undo that a target is draining. This also helps without a restoration, when an entry is written late.

Ruled out: comparing revisions only with those of the same watch, without the era: a watch from a revision that was given out again succeeds and skips what lies before it.

--- a/lavenderstile/edge/change_batches.py
+++ b/lavenderstile/edge/change_batches.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from . import models
+
 # Larger messages go to RELAY_COUNT hosts, which forward them to the others: a
 # burst of 25 datagrams with a configuration of 17 KB was mostly lost on links
 # of 5 Mbit/s.
@@ -31,6 +33,12 @@
     after: int
     revision: int
     body: bytes
+    era: int = 0
+
+    @property
+    def position(self):
+        """Position after the changes."""
+        return models.Position(self.era, self.revision)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -66,7 +74,10 @@
         size = 0
         for recorded_at, earlier in reversed(self._recent):
             size += len(earlier.body)
-            is_contiguous = earlier.revision >= batches[0].after
+            is_contiguous = (
+                earlier.era == batch.era
+                and earlier.revision >= batches[0].after
+            )
             if (
                 now - recorded_at > RESEND_WINDOW_S
                 or size > MAX_RESENT_BYTES
@@ -79,7 +90,7 @@
 
     def record(self, batch, now):
         """Record a batch that this host or a peer has read."""
-        if self._recent and batch.revision <= self._recent[-1][1].revision:
+        if self._recent and batch.position <= self._recent[-1][1].position:
             return
         self._recent.append((now, batch))
         while now - self._recent[0][0] > RESEND_WINDOW_S:
--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -14,6 +14,15 @@
 # is missing after it, those targets have left and get no more requests.
 LAPSE_SHARE = 0.4
 
+# A restored registry may list targets that have left, and may lack evacuations
+# that are still wanted. It drops the former after three missed heartbeats, and
+# the operator writes the latter again. Until then what the host knew counts.
+RESTORE_GRACE_S = 6.0
+
+# Targets that have left are remembered for this time, which is longer than
+# the age of a copy from which the registry may be restored.
+DEPARTED_RETENTION_S = 60.0
+
 
 @dataclasses.dataclass(slots=True)
 class KnownTarget:
@@ -36,6 +45,7 @@
     configuration: models.Configuration | None
     targets: tuple[models.Target, ...]
     evacuated: frozenset[str]
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +58,7 @@
     revision: int
     events: tuple
     body: bytes = b''
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,10 +88,14 @@
     __slots__ = (
         '_by_service',
         '_configuration',
+        '_departed',
         '_domains',
         '_evacuated',
         '_grace_until',
-        '_revision',
+        '_held_targets',
+        '_listed_evacuated',
+        '_position',
+        '_restore_grace_until',
         '_targets',
     )
 
@@ -90,8 +105,12 @@
         self._by_service = {}
         self._domains = {}
         self._evacuated = frozenset()
-        self._revision = 0
+        self._position = None
         self._grace_until = 0.0
+        self._departed = {}
+        self._held_targets = {}
+        self._listed_evacuated = frozenset()
+        self._restore_grace_until = 0.0
 
     @property
     def configuration(self):
@@ -101,7 +120,12 @@
     @property
     def revision(self):
         """Registry revision of this state."""
-        return self._revision
+        return self.position.revision
+
+    @property
+    def position(self):
+        """Era and revision of this state."""
+        return self._position or models.Position(0, 0)
 
     @property
     def evacuated(self):
@@ -126,53 +150,110 @@
         self._grace_until = now + LAPSE_GRACE_S
 
     def apply_snapshot(self, snapshot, now):
-        """Replace the state; targets without an entry are removed."""
+        """Replace the state; targets without an entry are removed.
+
+        A snapshot of a new era is from a restored registry: for a while,
+        targets without an entry may still have to register again.
+        """
+        if self._position is not None and snapshot.era > self._position.era:
+            self._restore_grace_until = now + RESTORE_GRACE_S
+            self.begin_grace(now)
+        is_restored = now < self._restore_grace_until
         self._update_configuration(snapshot.configuration)
-        self._evacuated = snapshot.evacuated
-        present = {target.instance for target in snapshot.targets}
+        self._listed_evacuated = snapshot.evacuated
+        self._evacuated = (
+            self._evacuated | snapshot.evacuated
+            if is_restored
+            else snapshot.evacuated
+        )
+        targets = snapshot.targets
+        present = {target.instance for target in targets}
         missing = [
             instance for instance in self._targets if instance not in present
         ]
-        self._remove_all(missing, now)
-        for target in snapshot.targets:
+        if is_restored:
+            targets = self._hold_departed(targets)
+            self._keep_missing(missing, now)
+        else:
+            self._held_targets = {}
+            self._remove_all(missing, now)
+        for target in targets:
             self._add_target(target, now)
-        self._revision = snapshot.revision
+        self._position = models.Position(snapshot.era, snapshot.revision)
         self._index()
 
+    def _hold_departed(self, targets):
+        """Set aside entries of targets that had left; return the others."""
+        departed = {
+            target.instance: target
+            for target in targets
+            if target.instance in self._departed
+            and target.age_order <= self._departed[target.instance][0]
+        }
+        self._held_targets = departed
+        return [
+            target for target in targets if target.instance not in departed
+        ]
+
     def apply_changes(self, changes, now):
-        """Apply the changes that are newer than the current revision."""
+        """Apply the changes that are newer than the current revision.
+
+        Changes of another era are ignored.
+        """
+        if changes.era != self.position.era:
+            return
         removed = {}
         for revision, event in changes.events:
-            if revision <= self._revision:
+            if revision <= self.revision:
                 continue
             match event:
                 case models.Configuration():
                     self._update_configuration(event)
                 case models.Target():
                     removed.pop(event.instance, None)
+                    self._held_targets.pop(event.instance, None)
                     self._add_target(event, now)
                 case TargetRemoved(instance):
+                    self._held_targets.pop(instance, None)
                     removed[instance] = True
                 case DomainEvacuated(domain):
                     self._evacuated |= {domain}
+                    self._listed_evacuated |= {domain}
                 case DomainRestored(domain):
                     self._evacuated -= {domain}
+                    self._listed_evacuated -= {domain}
         self._remove_all(removed, now)
-        self._revision = max(self._revision, changes.revision)
+        revision = max(self.revision, changes.revision)
+        self._position = models.Position(changes.era, revision)
         self._index()
 
     def expire(self, now):
-        """Drop the targets whose grace period is over."""
+        """Drop what was only kept for a grace period that is over."""
         expired = [
             instance
             for instance, known in self._targets.items()
             if known.removed_at is not None and now >= self._grace_until
         ]
         for instance in expired:
-            del self._targets[instance]
-        if expired:
+            self._remove(instance, now)
+        is_changed = bool(expired)
+        if now >= self._restore_grace_until:
+            is_changed |= self._end_restore_grace(now)
+        if is_changed:
             self._index()
 
+    def _end_restore_grace(self, now):
+        """Follow the registry again; return whether this changes anything."""
+        is_changed = (
+            bool(self._held_targets)
+            or self._evacuated != self._listed_evacuated
+        )
+        for target in self._held_targets.values():
+            self._add_target(target, now)
+        self._held_targets = {}
+        self._evacuated = self._listed_evacuated
+        return is_changed
+
     def _update_configuration(self, configuration):
         if configuration is None:
             return
@@ -182,10 +263,11 @@
 
     def _add_target(self, target, now):
         known = self._targets.get(target.instance)
-        if known is not None and known.target.started_ms > target.started_ms:
+        if known is not None and known.target.age_order > target.age_order:
             return
         cold_until = now + target.cold_left_s if target.cold_left_s else 0.0
         self._targets[target.instance] = KnownTarget(target, now, cold_until)
+        self._departed.pop(target.instance, None)
         self._drop_former_targets(target)
 
     def _drop_former_targets(self, target):
@@ -200,6 +282,22 @@
         for instance in former:
             del self._targets[instance]
 
+    def _remove(self, instance, now):
+        """Remove a target; remember the age of its last entry."""
+        known = self._targets.pop(instance)
+        self._departed = {
+            departed: (age_order, at)
+            for departed, (age_order, at) in self._departed.items()
+            if now - at < DEPARTED_RETENTION_S
+        }
+        self._departed[instance] = (known.target.age_order, now)
+
+    def _keep_missing(self, missing, now):
+        """Keep targets without an entry until the end of the grace period."""
+        for instance in missing:
+            if self._targets[instance].removed_at is None:
+                self._targets[instance].removed_at = now
+
     def _remove_all(self, instances, now):
         """Remove targets; those that seem to have lapsed stay for a while."""
         missing = [
@@ -213,7 +311,7 @@
         for instance in missing:
             known = self._targets[instance]
             if known.target.service not in lapsed:
-                del self._targets[instance]
+                self._remove(instance, now)
             elif known.removed_at is None:
                 known.removed_at = now
 
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -186,6 +186,7 @@
         return {
             'unready': self.find_unready_reason(),
             'version': self._version,
+            'era': parts.directory.position.era,
             'revision': parts.directory.revision,
             'registry_lost_for_s': self._get_registry_outage(now),
             'evacuated': sorted(parts.directory.evacuated),
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -271,7 +271,7 @@
         for service, (requests, retries, failed) in sent.items():
             self._budgets.record_peer(service, requests, retries, now)
             self._outcomes.record(service, requests, failed, now)
-        self._watcher_selection.record_peer_revision(update.revision)
+        self._watcher_selection.record_peer_position(update.position)
         self._balancer.record_use(update.running, now)
         if is_new and not update.is_leaving:
             eliot.log_message(
@@ -314,7 +314,7 @@
             self._outcomes.record(
                 service, requests, failed, now, is_own_domain=False
             )
-        self._watcher_selection.record_peer_revision(digest.revision)
+        self._watcher_selection.record_peer_position(digest.position)
         self._rate_limits.record(added, now)
         self._target_limits.record_reports(
             digest.limits, target_limits.Source.OTHER_DOMAIN, now
@@ -380,6 +380,7 @@
             self._waiting.counts,
             limits,
             limited_sends,
+            self._directory.position.era,
         )
 
     def _get_contact_age(self):
@@ -388,7 +389,9 @@
 
     def broadcast_changes(self, after, changes):
         """Send changes of the registry to the hosts of the domain."""
-        batch = change_batches.Batch(after, changes.revision, changes.body)
+        batch = change_batches.Batch(
+            after, changes.revision, changes.body, changes.era
+        )
         packed = self._change_log.add(batch, self._clock.now())
         if len(packed) > messages.MAX_CHANGES_BYTES:
             # Peers learn the revision and read the changes from the registry.
@@ -458,6 +461,7 @@
                 self._target_limits.get_reports(
                     target_limits.Source.PEER, now
                 ),
+                self._directory.position.era,
             )
         )
         self._crashes = []
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from . import models
+
 # A datagram carries 64 KB; the remainder is for the addresses to forward to.
 MAX_CHANGES_BYTES = 50_000
 
@@ -67,11 +69,11 @@
     are totals since the start of the process: `admitted` has the admitted
     requests by workspace, and `sends` by service the requests, the attempts
     after the first and the failed requests. `waiting` has the requests that
-    wait for a slot, by service and priority. `revision` is the latest registry
-    revision that the sender has, `contact_age_s` the time since the registry
-    last responded to the sender. `limits` has the limits that targets stated,
-    and `limited_sends` the requests to targets while they were limited, since
-    the start of the process. Unless the update `is_full`, unchanged counts and
+    wait for a slot, by service and priority. `era` and `revision` are the
+    latest position in the registry that the sender has, `contact_age_s` the
+    time since the registry last responded to the sender. `limits` has the
+    limits that targets stated, and `limited_sends` the requests to targets
+    while they were limited. Unless the update `is_full`, unchanged counts and
     limits are left out.
     """
 
@@ -91,6 +93,12 @@
     waiting: dict[str, dict[int, int]] = {}
     limits: dict[str, LimitReport] = {}
     limited_sends: dict[str, int] = {}
+    era: int = 0
+
+    @property
+    def position(self):
+        """Position of the sender's directory."""
+        return models.Position(self.era, self.revision)
 
 
 class Digest(msgspec.Struct, tag='d', array_like=True):
@@ -113,6 +121,12 @@
     revision: int
     crashes: list[Crash]
     limits: dict[str, LimitReport] = {}
+    era: int = 0
+
+    @property
+    def position(self):
+        """Position of the sender's directory."""
+        return models.Position(self.era, self.revision)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/lavenderstile/edge/models.py
+++ b/lavenderstile/edge/models.py
@@ -1,6 +1,18 @@
 """Routes, services, workspaces and targets as a host knows them."""
 
 import dataclasses
+import typing
+
+
+class Position(typing.NamedTuple):
+    """A place in the history of the registry.
+
+    The `era` rises each time the registry is restored from an older copy;
+    revisions are given out again in the new era.
+    """
+
+    era: int
+    revision: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +86,8 @@
     """One run of a server, as it registered itself.
 
     `cold_left_s` is the rest of its cold start at the time of the entry,
-    `started_ms` the Unix time of its start.
+    `started_ms` the Unix time of its start. `sequence` counts what it has
+    written since then.
     """
 
     instance: str
@@ -86,6 +99,15 @@
     is_draining: bool
     cold_left_s: float
     started_ms: int
+    sequence: int = 0
+
+    @property
+    def age_order(self):
+        """Key that orders the entries of one instance by their time.
+
+        A target that does not say when it started may count anew.
+        """
+        return self.started_ms, self.sequence if self.started_ms else 0
 
 
 class Configuration:
--- a/lavenderstile/edge/registry.py
+++ b/lavenderstile/edge/registry.py
@@ -27,14 +27,18 @@
 
 
 class HistoryLost(Exception):
-    """The registry no longer has the changes after a revision."""
+    """The registry does not have the changes after a revision.
+
+    It has dropped them, or it was restored from a copy without them.
+    """
 
 
 class RegistryWatcher:
     """Keeps a directory up to date; never writes to the registry.
 
     `client` has `read_all()` and `watch(revision, wait_s)`, which raise
-    `errors.PlatformError` and `HistoryLost`, and `decode_changes(body)`.
+    `errors.PlatformError` and `HistoryLost`, and
+    `decode_changes(body, era)`.
     `watcher_selection` decides whether this host calls the registry.
     `on_change()` is called after each change of the directory.
     `broadcast_changes(after, changes)` sends changes to the peers, and
@@ -90,8 +94,11 @@
                 else:
                     await asyncio.sleep(IDLE_POLL_INTERVAL_S)
             except HistoryLost:
+                position = self._directory.position
                 eliot.log_message(
-                    'registry_history_lost', revision=self._directory.revision
+                    'registry_history_lost',
+                    era=position.era,
+                    revision=position.revision,
                 )
                 needs_all = True
             except errors.PlatformError as error:
@@ -99,6 +106,11 @@
 
     async def _read_all(self):
         snapshot = await self._client.read_all()
+        if snapshot.era < self._directory.position.era:
+            raise errors.PlatformError(
+                f'era {snapshot.era} is older than'
+                f' {self._directory.position.era}'
+            )
         self._note_success()
         self._directory.apply_snapshot(snapshot, self._clock.now())
         self._is_synchronized = True
@@ -106,12 +118,14 @@
 
     def _is_behind(self):
         return self._watcher_selection.is_behind(
-            self._directory.revision, self._clock.now()
+            self._directory.position, self._clock.now()
         )
 
     async def _watch(self, wait_s):
         after = self._directory.revision
         changes = await self._client.watch(after, wait_s)
+        if changes.era != self._directory.position.era:
+            raise HistoryLost
         self._note_success()
         if wait_s and changes.events:
             self._broadcast_changes(after, changes)
@@ -123,13 +137,16 @@
 
     def apply_batch(self, batch):
         """Apply changes that a peer read."""
-        revision = self._directory.revision
-        if not self._is_synchronized or not (
-            batch.after <= revision < batch.revision
+        position = self._directory.position
+        if (
+            not self._is_synchronized
+            or batch.era != position.era
+            or not batch.after <= position.revision < batch.revision
         ):
             return
         try:
-            self._apply(self._client.decode_changes(batch.body))
+            changes = self._client.decode_changes(batch.body, batch.era)
+            self._apply(changes)
         except errors.PlatformError as error:
             eliot.log_message('registry_news_unreadable', error=str(error))
 
--- a/lavenderstile/edge/watcher_selection.py
+++ b/lavenderstile/edge/watcher_selection.py
@@ -6,6 +6,7 @@
 """
 
 from .. import hashing
+from . import models
 
 WATCHERS = 2
 
@@ -32,7 +33,7 @@
     __slots__ = (
         '_behind_since',
         '_fleet',
-        '_newest_revision',
+        '_newest',
         '_order',
         '_ranked_members',
         '_registry_contact_at',
@@ -44,7 +45,7 @@
         self._fleet = fleet
         self._order = ()
         self._ranked_members = None
-        self._newest_revision = 0
+        self._newest = models.Position(0, 0)
         self._behind_since = None
         self._registry_contact_at = float('-inf')
         self._settled_at = float('-inf')
@@ -61,9 +62,9 @@
             self._settled_at = now + SETTLE_S
         self._registry_contact_at = now
 
-    def record_peer_revision(self, revision):
-        """Record a revision that another host knows."""
-        self._newest_revision = max(self._newest_revision, revision)
+    def record_peer_position(self, position):
+        """Record the position of another host's directory."""
+        self._newest = max(self._newest, position)
 
     def should_watch(self, now):
         """Return whether this host watches the registry itself."""
@@ -86,9 +87,9 @@
                     return False
         return True
 
-    def is_behind(self, revision, now):
+    def is_behind(self, position, now):
         """Return whether this host should request changes that it missed."""
-        if self._newest_revision <= revision:
+        if self._newest <= position:
             self._behind_since = None
             return False
         if self._behind_since is None:
--- a/lavenderstile/platform/objects.py
+++ b/lavenderstile/platform/objects.py
@@ -94,6 +94,8 @@
     # Remaining time, not the whole warm-up.
     warmup_left_s: float = 0.0
     born: int = 0
+    # Counts the heartbeats since `born`.
+    seq: int = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -194,6 +196,7 @@
         is_draining=server.state == 'draining',
         cold_left_s=max(0.0, server.warmup_left_s),
         started_ms=server.born,
+        sequence=server.seq,
     )
 
 
--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -12,6 +12,7 @@
 from .. import headers as header_tools
 from ..edge import directory
 from ..edge import http_client
+from ..edge import models
 from ..edge import registry
 from . import objects
 
@@ -65,23 +66,26 @@
         """Return a `Snapshot` of the whole store."""
         items = []
         after = ''
-        revision = None
+        revision = era = None
         for _ in range(MAX_PAGES):
             query = {'prefix': ''}
             if after:
                 query['after'] = after
-            body = await self._get('kv-range', query, 0.0)
-            page = _parse('kv-range', body, _Range)
+            response = await self._get('kv-range', query, 0.0)
+            page = _parse('kv-range', response.body, _Range)
             # Later pages may be newer than the first one, so that changes are
             # watched from the first one's revision.
             if revision is None:
                 revision = page.current_rev
+                era = _read_era(response.headers)
+            elif _read_era(response.headers) != era:
+                raise registry.HistoryLost
             items.extend(page.items)
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
         decoded = [value for value in map(_decode, items) if value is not None]
-        return _make_snapshot(revision, decoded)
+        return _make_snapshot(models.Position(era, revision), decoded)
 
     async def watch(self, revision, wait_s):
         """Return the `Changes` after a revision; waits `wait_s` for any."""
@@ -90,10 +94,10 @@
             'after': str(revision),
             'waitMs': str(int(wait_s * 1000)),
         }
-        body = await self._get('kv-watch', query, wait_s)
-        return self.decode_changes(body)
+        response = await self._get('kv-watch', query, wait_s)
+        return self.decode_changes(response.body, _read_era(response.headers))
 
-    def decode_changes(self, body):
+    def decode_changes(self, body, era):
         """Return the `Changes` in the response to a watch."""
         response = _parse('kv-watch', body, _Events)
         events = [
@@ -101,7 +105,9 @@
             for item in response.events
             if (event := _decode(item)) is not None
         ]
-        return directory.Changes(response.current_rev, tuple(events), body)
+        return directory.Changes(
+            response.current_rev, tuple(events), body, era
+        )
 
     async def _get(self, call, query, wait_s):
         url = f'/lavenderstile/{call}?{urllib.parse.urlencode(query)}'
@@ -120,7 +126,7 @@
             raise registry.HistoryLost
         if response.status != 200:
             raise errors.PlatformError(f'{call}: status {response.status}')
-        return response.body
+        return response
 
     def _note_era(self, headers):
         """Log when the store has been restored."""
@@ -196,18 +202,22 @@
         return objects.decode_removed(item.key)
 
 
-def _make_snapshot(revision, decoded):
+def _make_snapshot(position, decoded):
     configuration = None
     targets = []
     evacuated = set()
     for value in decoded:
         match value:
-            case directory.models.Configuration():
+            case models.Configuration():
                 configuration = value
-            case directory.models.Target():
+            case models.Target():
                 targets.append(value)
             case directory.DomainEvacuated(domain):
                 evacuated.add(domain)
     return directory.Snapshot(
-        revision, configuration, tuple(targets), frozenset(evacuated)
+        position.revision,
+        configuration,
+        tuple(targets),
+        frozenset(evacuated),
+        position.era,
     )
--- a/tests/edge/test_change_batches.py
+++ b/tests/edge/test_change_batches.py
@@ -81,6 +81,16 @@
             self.add(7, 8, change_batches.RESEND_WINDOW_S + 0.4), [7]
         )
 
+    def test_a_new_era_starts_a_new_log(self):
+        """Guards against batches of a restored registry that are dropped."""
+        self.assertEqual(self.add(8, 9, 0.0), [8])
+        restored = change_batches.Batch(4, 5, b'', 1)
+        packed = self.log.add(restored, 0.5)
+        self.assertEqual(change_batches.unpack(packed), [restored])
+        later = change_batches.Batch(5, 6, b'', 1)
+        packed = self.log.add(later, 0.6)
+        self.assertEqual(change_batches.unpack(packed), [restored, later])
+
 
 class RelayTest(unittest.TestCase):
     """Load pattern: a large configuration for all hosts of a domain.
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -137,3 +137,147 @@
         removed = [directory.TargetRemoved(f'i-{n}') for n in range(6)]
         apply_events(self.found, 11, *removed, now=50.0)
         self.assertEqual(list_instances(self.found), set())
+
+
+class RestoredRegistryTest(unittest.TestCase):
+    """Guards against a return to the state of an older copy.
+
+    A registry that was restored lists targets that have left and lacks what
+    was written since the copy was made, until it is written again.
+    """
+
+    ERA = 1
+
+    def setUp(self):
+        self.targets = [
+            builders.make_target(f'i-{n}', sequence=5) for n in range(3)
+        ]
+        self.found = builders.make_directory(self.targets)
+
+    def restore(self, *targets, evacuated=(), revision=4, now=100.0):
+        """Apply a snapshot of a new era."""
+        snapshot = directory.Snapshot(
+            revision, None, targets, frozenset(evacuated), self.ERA
+        )
+        self.found.apply_snapshot(snapshot, now)
+
+    def apply(self, revision, *events, now=100.5):
+        """Apply events of the new era."""
+        pairs = tuple((revision, event) for event in events)
+        changes = directory.Changes(revision, pairs, era=self.ERA)
+        self.found.apply_changes(changes, now)
+
+    def test_revisions_start_again(self):
+        self.restore(*self.targets)
+        self.assertEqual(self.found.position, (self.ERA, 4))
+        self.apply(5, builders.make_configuration(9))
+        self.assertEqual(self.found.configuration.version, 9)
+
+    def test_changes_of_the_former_era_are_ignored(self):
+        self.restore(*self.targets)
+        apply_events(self.found, 50, directory.TargetRemoved('i-0'))
+        self.assertIn('i-0', list_instances(self.found))
+        self.assertEqual(self.found.revision, 4)
+
+    def test_a_draining_target_stays_so(self):
+        draining = builders.make_target('i-0', is_draining=True, sequence=7)
+        apply_events(self.found, 11, draining)
+        self.restore(*self.targets)
+        self.assertEqual(list_instances(self.found), {'i-1', 'i-2'})
+
+    def test_a_target_that_left_gets_nothing(self):
+        apply_events(self.found, 11, directory.TargetRemoved('i-0'), now=95.0)
+        self.restore(*self.targets)
+        self.assertEqual(list_instances(self.found), {'i-1', 'i-2'})
+        self.apply(5, directory.TargetRemoved('i-0'))
+        self.found.expire(100.0 + directory.RESTORE_GRACE_S)
+        self.assertEqual(list_instances(self.found), {'i-1', 'i-2'})
+
+    def test_a_target_that_writes_again_is_used_at_once(self):
+        apply_events(self.found, 11, directory.TargetRemoved('i-0'), now=95.0)
+        self.restore(*self.targets)
+        self.apply(5, builders.make_target('i-0', sequence=6))
+        self.assertIn('i-0', list_instances(self.found))
+
+    def test_a_target_that_stays_listed_is_used_after_a_while(self):
+        """Guards against a live target that is left out for good.
+
+        The registry reports no change when a target only repeats its entry.
+        """
+        apply_events(self.found, 11, directory.TargetRemoved('i-0'), now=95.0)
+        self.restore(*self.targets)
+        self.found.expire(99.9 + directory.RESTORE_GRACE_S)
+        self.assertNotIn('i-0', list_instances(self.found))
+        self.found.expire(100.0 + directory.RESTORE_GRACE_S)
+        self.assertIn('i-0', list_instances(self.found))
+
+    def test_targets_without_an_entry_stay_until_they_register_again(self):
+        self.restore(self.targets[0], self.targets[1])
+        self.assertEqual(len(list_instances(self.found)), 3)
+        self.apply(5, self.targets[2])
+        self.found.expire(100.1 + directory.LAPSE_GRACE_S)
+        self.assertEqual(len(list_instances(self.found)), 3)
+
+    def test_targets_that_do_not_register_again_have_left(self):
+        self.restore(self.targets[0], self.targets[1])
+        self.found.expire(100.1 + directory.LAPSE_GRACE_S)
+        self.assertEqual(list_instances(self.found), {'i-0', 'i-1'})
+
+    def test_an_evacuation_lasts_until_the_operator_has_written_again(self):
+        apply_events(self.found, 11, directory.DomainEvacuated('a'))
+        self.restore(*self.targets)
+        self.assertEqual(list_instances(self.found), set())
+        self.found.expire(100.0 + directory.RESTORE_GRACE_S)
+        self.assertEqual(len(list_instances(self.found)), 3)
+
+    def test_an_evacuation_that_is_written_again_stays(self):
+        apply_events(self.found, 11, directory.DomainEvacuated('a'))
+        self.restore(*self.targets)
+        self.apply(5, directory.DomainEvacuated('a'))
+        self.found.expire(100.0 + directory.RESTORE_GRACE_S)
+        self.assertEqual(list_instances(self.found), set())
+
+    def test_an_evacuation_that_the_operator_ends_is_over_at_once(self):
+        apply_events(self.found, 11, directory.DomainEvacuated('a'))
+        self.restore(*self.targets, evacuated=('a',))
+        self.apply(5, directory.DomainRestored('a'))
+        self.assertEqual(len(list_instances(self.found)), 3)
+
+    def test_the_configuration_does_not_go_back(self):
+        apply_events(self.found, 11, builders.make_configuration(7))
+        snapshot = directory.Snapshot(
+            4, builders.make_configuration(5), (), frozenset(), self.ERA
+        )
+        self.found.apply_snapshot(snapshot, 100.0)
+        self.assertEqual(self.found.configuration.version, 7)
+
+    def test_a_second_read_keeps_what_is_held(self):
+        """Guards against a read in the grace period that ends it."""
+        apply_events(self.found, 11, directory.TargetRemoved('i-0'), now=95.0)
+        self.restore(*self.targets)
+        self.restore(*self.targets, revision=6, now=101.0)
+        self.assertEqual(list_instances(self.found), {'i-1', 'i-2'})
+
+
+class EntryOrderTest(unittest.TestCase):
+    """Guards against an entry that was written late and undoes a newer one."""
+
+    def test_an_earlier_entry_of_the_same_start_is_ignored(self):
+        found = builders.make_directory(
+            [builders.make_target('i-1', is_draining=True, sequence=9)]
+        )
+        apply_events(found, 11, builders.make_target('i-1', sequence=8))
+        self.assertEqual(list_instances(found), set())
+
+    def test_targets_without_a_start_time_may_count_anew(self):
+        found = builders.make_directory(
+            [
+                builders.make_target(
+                    'i-1', is_draining=True, sequence=9, started_ms=0
+                )
+            ]
+        )
+        apply_events(
+            found, 11, builders.make_target('i-1', sequence=1, started_ms=0)
+        )
+        self.assertEqual(list_instances(found), {'i-1'})
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -11,6 +11,7 @@
 from lavenderstile.edge import metrics
 from lavenderstile.edge import registry
 from lavenderstile.edge import watcher_selection
+from lavenderstile import errors
 from lavenderstile.platform import objects
 from lavenderstile.platform import store as store_client
 from tests.edge import builders
@@ -179,6 +180,46 @@
             lambda: self.directory.configuration.version == 7
         )
 
+    async def test_changes_of_another_era_from_peers_are_not_applied(self):
+        self.put_configuration(3)
+        await self.watcher._read_all()
+        revision = self.directory.revision
+        copy = self.store.copy()
+        self.store.restore(copy)
+        self.put_configuration(5)
+        changes = await self.watcher._client.watch(revision, 0.0)
+        batch = change_batches.Batch(
+            revision, changes.revision, changes.body, changes.era
+        )
+        self.watcher.apply_batch(batch)
+        self.assertEqual(self.directory.configuration.version, 3)
+
+    async def test_a_restoration_between_two_pages_is_noticed(self):
+        for number in range(registry_store.PAGE_ITEMS + 1):
+            self.put_target(f'i-{number:04}', instance_number=number)
+        read_range = self.store.read_range
+
+        def restore_before_the_second_page(prefix, after):
+            if after:
+                self.store.restore(self.store.copy())
+            return read_range(prefix, after)
+
+        self.store.read_range = restore_before_the_second_page
+        with self.assertRaises(registry.HistoryLost):
+            await self.watcher._client.read_all()
+
+    async def test_an_unreadable_era_fails_the_call(self):
+        self.store.era = 'first'
+        with self.assertRaises(errors.PlatformError):
+            await self.watcher._client.read_all()
+
+    async def test_a_state_of_an_earlier_era_is_refused(self):
+        self.store.era = 4
+        await self.watcher._read_all()
+        self.store.era = 3
+        with self.assertRaises(errors.PlatformError):
+            await self.watcher._read_all()
+
 
 class SharingTest(WatcherCase):
     """Guards against 48 hosts that all watch the registry themselves."""
@@ -208,7 +249,9 @@
             lambda after, changes: None,
             lambda: None,
         )
-        batch = change_batches.Batch(after, changes.revision, changes.body)
+        batch = change_batches.Batch(
+            after, changes.revision, changes.body, changes.era
+        )
         watcher.apply_batch(batch)
         self.assertEqual(other.targets, {}, 'not synchronized yet')
         await watcher._read_all()
@@ -236,14 +279,18 @@
             self.directory.revision, 0.0
         )
         known = self.directory.revision
-        batch = change_batches.Batch(known + 1, known + 2, changes.body)
+        batch = change_batches.Batch(
+            known + 1, known + 2, changes.body, changes.era
+        )
         self.watcher.apply_batch(batch)
         self.assertEqual(self.list_instances(), set())
 
     async def test_an_invalid_batch_changes_nothing(self):
         self.put_configuration(3)
         await self.watcher._read_all()
-        batch = change_batches.Batch(0, self.directory.revision + 1, b'\xff')
+        batch = change_batches.Batch(
+            0, self.directory.revision + 1, b'\xff', self.store.era
+        )
         self.watcher.apply_batch(batch)
         self.assertEqual(self.directory.configuration.version, 3)
 
--- a/tests/edge/test_watcher_selection.py
+++ b/tests/edge/test_watcher_selection.py
@@ -3,6 +3,7 @@
 import unittest
 
 from lavenderstile.edge import fleet
+from lavenderstile.edge import models
 from lavenderstile.edge import watcher_selection
 from tests.edge import builders
 
@@ -96,18 +97,33 @@
         found = watcher_selection.WatcherSelection(
             fleet.Fleet('10.1.0.1', 'a', 1)
         )
-        found.record_peer_revision(7)
-        self.assertFalse(found.is_behind(6, 1.0))
+        found.record_peer_position(models.Position(0, 7))
+        self.assertFalse(found.is_behind(models.Position(0, 6), 1.0))
         self.assertTrue(
-            found.is_behind(6, 1.0 + watcher_selection.BEHIND_LIMIT_S)
+            found.is_behind(
+                models.Position(0, 6), 1.0 + watcher_selection.BEHIND_LIMIT_S
+            )
         )
 
     def test_changes_that_arrive_end_the_wait(self):
         found = watcher_selection.WatcherSelection(
             fleet.Fleet('10.1.0.1', 'a', 1)
         )
-        found.record_peer_revision(7)
-        found.is_behind(6, 1.0)
-        self.assertFalse(found.is_behind(7, 1.2))
-        found.record_peer_revision(8)
-        self.assertFalse(found.is_behind(7, 2.0))
+        found.record_peer_position(models.Position(0, 7))
+        found.is_behind(models.Position(0, 6), 1.0)
+        self.assertFalse(found.is_behind(models.Position(0, 7), 1.2))
+        found.record_peer_position(models.Position(0, 8))
+        self.assertFalse(found.is_behind(models.Position(0, 7), 2.0))
+
+    def test_a_lower_revision_of_a_newer_era_is_missed(self):
+        """Guards against hosts that never learn of a restored registry."""
+        found = watcher_selection.WatcherSelection(
+            fleet.Fleet('10.1.0.1', 'a', 1)
+        )
+        found.record_peer_position(models.Position(1, 30))
+        found.record_peer_position(models.Position(2, 7))
+        known = models.Position(1, 30)
+        found.is_behind(known, 1.0)
+        late = 1.0 + watcher_selection.BEHIND_LIMIT_S
+        self.assertTrue(found.is_behind(known, late))
+        self.assertFalse(found.is_behind(models.Position(2, 7), late))
