Run the targets of the endless-response tests in their own process

Two to five of the seven tests failed on this machine, on the untouched code as well: the event loop lagged by 1.4 to 5.5 s, 1.0 allowed.

Cause: the targets shared the host's event loop. The loop's own reports of slow callbacks name the tasks of the targets, each of which the kernel kept for 0.1 to 0.2 s in writing to its socket; none names the host.

Change: the targets run as emulator.endless_targets, so that the monitor measures the host. Bounds, number of targets and behaviours are unchanged.

Ruled out: a small send buffer (a host without its limit for informational responses then passes), and threads (they hold the interpreter lock).

--- a/tests/edge/test_endless_responses.py
+++ b/tests/edge/test_endless_responses.py
@@ -1,11 +1,18 @@
 """Load pattern: many targets send bytes without end until the host closes."""
 
 import asyncio
-import contextlib
+import pathlib
+import tempfile
 import unittest
 
+import msgspec
+
+from emulator import endless_targets
+from emulator import processes
+from emulator import registry_store
 from lavenderstile.edge import http_client
 from lavenderstile.edge import response_memory
+from lavenderstile.platform import objects
 from tests.edge import edge_case
 
 TARGETS = 50
@@ -18,69 +25,6 @@
 MAX_LOOP_LAG_S = 1.0
 LAG_INTERVAL_S = 0.02
 
-SIGNED_HEAD = (
-    b'HTTP/1.1 200 OK\r\n'
-    b'x-lavenderstile-attempt-id: try-1\r\n'
-    b'x-lavenderstile-server-signature: s.1\r\n'
-)
-
-
-async def send_endlessly(writer, start, part):
-    """Send bytes until the connection is closed."""
-    writer.write(start)
-    with contextlib.suppress(ConnectionError):
-        while not writer.is_closing():
-            writer.write(part)
-            await writer.drain()
-
-
-async def endless_chunks(target, request, writer):
-    """Send a body in chunks without end."""
-    chunk = b'10000\r\n' + b'x' * 0x10000 + b'\r\n'
-    head = SIGNED_HEAD + b'transfer-encoding: chunked\r\n\r\n'
-    await send_endlessly(writer, head, chunk)
-
-
-async def endless_body(target, request, writer):
-    """Send a body without a length and without end."""
-    await send_endlessly(writer, SIGNED_HEAD + b'\r\n', b'x' * 0x10000)
-
-
-async def endless_head(target, request, writer):
-    """Send header lines without end."""
-    await send_endlessly(writer, SIGNED_HEAD, b'x-more: bytes\r\n' * 1000)
-
-
-async def endless_line(target, request, writer):
-    """Send a single header line without end."""
-    await send_endlessly(writer, SIGNED_HEAD + b'x-more: ', b'x' * 0x10000)
-
-
-async def endless_informational(target, request, writer):
-    """Send informational responses without end."""
-    await send_endlessly(writer, b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 500)
-
-
-async def endless_garbage(target, request, writer):
-    """Send bytes that are no response without end."""
-    await send_endlessly(writer, b'', b'\x00\xff' * 0x8000)
-
-
-async def endless_empty_lines(target, request, writer):
-    """Send empty lines in place of a response, without end."""
-    await send_endlessly(writer, b'', b'\r\n' * 0x8000)
-
-
-ENDLESS = (
-    endless_chunks,
-    endless_body,
-    endless_head,
-    endless_line,
-    endless_informational,
-    endless_garbage,
-    endless_empty_lines,
-)
-
 
 def read_resident_bytes():
     """Return the resident memory of this process."""
@@ -117,10 +61,29 @@
 class EndlessResponseTest(edge_case.EdgeCase):
     """Guards against a host that runs out of memory or stops responding."""
 
+    async def start_targets(self, behaviour):
+        """Start targets in a process of their own and register them."""
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        process = processes.Process(
+            'targets',
+            ['emulator.endless_targets', behaviour.__name__, str(TARGETS)],
+            pathlib.Path(directory) / 'targets.log',
+        )
+        await process.start()
+        self.addAsyncCleanup(process.kill)
+        await self.wait_until(lambda: process.log.endswith('\n'))
+        addresses = msgspec.json.decode(process.log)
+        for number, address in enumerate(addresses):
+            instance = f'i-{number}'
+            entry = registry_store.describe_target(address)
+            self.apply_events(
+                objects.decode_target(instance, msgspec.json.encode(entry))
+            )
+            self.parts.health.add(instance, False, self.clock.now())
+
     async def play(self, behaviour):
         """Send a payment to each of many such targets; return statuses."""
-        for _ in range(TARGETS):
-            await self.add_target(*[behaviour] * TARGETS)
+        await self.start_targets(behaviour)
         self.monitor = ResourceMonitor()
         watching = asyncio.create_task(self.monitor.run())
         self.addCleanup(watching.cancel)
@@ -142,7 +105,7 @@
 
 
 def _add_tests():
-    for behaviour in ENDLESS:
+    for behaviour in endless_targets.BEHAVIOURS.values():
 
         async def test(self, behaviour=behaviour):
             await self.check(behaviour)
@@ -160,7 +123,7 @@
     """Guards against sound responses that fail for an endless one."""
 
     async def test_a_sound_response_passes_beside_endless_ones(self):
-        endless = await self.add_target(*[endless_chunks] * 8)
+        endless = await self.add_target(*[endless_targets.endless_chunks] * 8)
         self.prefer(endless)
         calls = [
             asyncio.create_task(self.request('/pay/1', b'x')) for _ in range(4)
@@ -177,7 +140,7 @@
         await asyncio.gather(*calls)
 
     async def test_a_failed_response_counts_against_its_target(self):
-        target = await self.add_target(endless_informational)
+        target = await self.add_target(endless_targets.endless_informational)
         await self.request('/pay/1', b'x')
         self.assertTrue(
             self.parts.health.is_avoided(target.instance, self.clock.now())
