Restore the store from an older copy in the soak

Between two faults the store of the soak goes back to its last copy, and what was lost is written again within a second; the hosts are held to time bounds again 4 s later. Ruled out: writing again while other changes are published; an operator does not publish a lower version after a higher one.

--- a/emulator/registry_store.py
+++ b/emulator/registry_store.py
@@ -80,6 +80,16 @@
         self._history = list(history)
         self.era += 1
 
+    def write_again(self, copy):
+        """Write what a restoration has lost since a copy was made."""
+        lost = copy[0]
+        for key in self._items.keys() - lost.keys():
+            self.remove(key)
+        for key, item in lost.items():
+            present = self._items.get(key)
+            if present is None or present['value'] != item['value']:
+                self.put(key, base64.b64decode(item['value']))
+
     def compact(self):
         """Discard the history of changes."""
         self._history.clear()
--- a/emulator/soak.py
+++ b/emulator/soak.py
@@ -2,10 +2,11 @@
 
 Run it with `python -m emulator.soak --seeds 1 2 3 --duration 20`. Each seed
 gives a schedule of overlapping faults: connections to targets and to the
-store are delayed, cut in one direction, silenced or reset; hosts are paused,
-killed, stopped and reloaded; and the configuration changes. Callers use
-their connections until these are closed. The responses and the requests that
-targets receive are checked against the invariants.
+store are delayed, cut in one direction, silenced or reset; the store is
+restored from an older copy; hosts are paused, killed, stopped and reloaded;
+and the configuration changes. Callers use their connections until these are
+closed. The responses and the requests that targets receive are checked
+against the invariants.
 """
 
 import argparse
@@ -103,6 +104,7 @@
         self._version = 1
         self._withdrawn_at = {}
         self._request_count = 0
+        self._store_copy = fleet.store.copy()
 
     @property
     def problems(self):
@@ -144,6 +146,7 @@
                 self._reload,
                 self._disrupt_target,
                 self._disrupt_store,
+                self._restore_store,
                 self._reset_connections,
                 self._silence_connections,
                 self._change_keys,
@@ -207,6 +210,19 @@
             self._last_fault_at[host.name] = float('inf')
         self._disrupt(self._fleet.store_proxy)
 
+    async def _restore_store(self):
+        """Restore the store from the last copy; write again what it lost."""
+        for host in self._fleet.hosts:
+            self._last_fault_at[host.name] = float('inf')
+        store = self._fleet.store
+        newest = store.copy()
+        store.restore(self._store_copy)
+        await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+        store.write_again(newest)
+        self._store_copy = newest
+        for host in self._fleet.hosts:
+            self._end_host_fault(host)
+
     def _disrupt(self, proxy):
         modes = [mode for mode in fault_proxy.Mode if mode.value != 'pass']
         proxy.mode = self._rng.choice(modes)
