Hold back the former target of a reused address after a restoration

Cause: a target that was dropped because a newer one had its address was not remembered as departed, so that the entry of the copy brought it back beside the newer one. Callers would see nothing, as the server at the address rejects requests for another instance, but each costs an attempt. Found by reading the change. Change: it is remembered. Ruled out: dropping it at its next entry; the newer target's entry doesn't come again. Result: its test fails before and passes now.

--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -268,9 +268,9 @@
         cold_until = now + target.cold_left_s if target.cold_left_s else 0.0
         self._targets[target.instance] = KnownTarget(target, now, cold_until)
         self._departed.pop(target.instance, None)
-        self._drop_former_targets(target)
+        self._drop_former_targets(target, now)
 
-    def _drop_former_targets(self, target):
+    def _drop_former_targets(self, target, now):
         """Drop targets whose address and port now belong to a newer one."""
         endpoint = (target.address, target.port)
         former = [
@@ -280,7 +280,7 @@
             and known.target.started_ms < target.started_ms
         ]
         for instance in former:
-            del self._targets[instance]
+            self._remove(instance, now)
 
     def _remove(self, instance, now):
         """Remove a target; remember the age of its last entry."""
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -251,6 +251,16 @@
         self.found.apply_snapshot(snapshot, 100.0)
         self.assertEqual(self.found.configuration.version, 7)
 
+    def test_the_former_target_of_a_reused_address_gets_nothing(self):
+        """Guards against two targets at one address, one of them gone."""
+        former = self.targets[0]
+        newer = builders.make_target(
+            'i-9', port=former.port, service='archive', started_ms=2
+        )
+        apply_events(self.found, 11, newer, now=95.0)
+        self.restore(*self.targets)
+        self.assertEqual(list_instances(self.found), {'i-1', 'i-2'})
+
     def test_a_second_read_keeps_what_is_held(self):
         """Guards against a read in the grace period that ends it."""
         apply_events(self.found, 11, directory.TargetRemoved('i-0'), now=95.0)
