Keep a missing target that the registry lists with an older entry

Cause: an entry that is older than the known one was ignored altogether, also as a sign that the target is listed, so that a target that was missing for a moment was dropped at the end of its grace period although it lived. Found by reading the change. Change: the older entry of the same start ends the grace period of the target. Ruled out: taking the older entry itself; it may undo that the target is draining. Result: its test fails before and passes now; 29 tests of the directory pass.

--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -264,6 +264,8 @@
     def _add_target(self, target, now):
         known = self._targets.get(target.instance)
         if known is not None and known.target.age_order > target.age_order:
+            if known.target.started_ms == target.started_ms:
+                known.removed_at = None
             return
         cold_until = now + target.cold_left_s if target.cold_left_s else 0.0
         self._targets[target.instance] = KnownTarget(target, now, cold_until)
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -261,6 +261,15 @@
         self.restore(*self.targets)
         self.assertEqual(list_instances(self.found), {'i-1', 'i-2'})
 
+    def test_an_older_entry_still_shows_that_a_target_is_listed(self):
+        """Guards against a live target that is dropped with its grace."""
+        newer = builders.make_target('i-0', slots=4, sequence=7)
+        apply_events(self.found, 11, newer)
+        self.restore(*self.targets[1:])
+        self.restore(*self.targets, revision=5, now=100.5)
+        self.found.expire(100.1 + directory.LAPSE_GRACE_S)
+        self.assertEqual(self.found.targets['i-0'].target.slots, 4)
+
     def test_a_second_read_keeps_what_is_held(self):
         """Guards against a read in the grace period that ends it."""
         apply_events(self.found, 11, directory.TargetRemoved('i-0'), now=95.0)
