--- a/lavenderstile/edge/target_limits.py
+++ b/lavenderstile/edge/target_limits.py
@@ -15,11 +15,11 @@
 from . import parsed_headers
 from . import rate_limits
 
-# A target that takes fewer requests still gets one at this rate, because only
+# A target that takes fewer requests still gets some at this rate, because only
 # a response can show that the limit was lifted.
-MIN_RATE = 0.2
+MIN_RATE_PER_S = 0.2
 
-BURST = 1.0
+BURST_REQUESTS = 1.0
 
 # Largest debt after several hosts have used the same token, in seconds of the
 # limit: a window of a few seconds must not hold two such excesses.
@@ -182,11 +182,11 @@
         if rate is None:
             self._buckets.pop(instance, None)
             return
-        rate = max(rate, MIN_RATE)
+        rate = max(rate, MIN_RATE_PER_S)
         bucket = self._buckets.get(instance)
         if bucket is None:
             self._buckets[instance] = rate_limits.TokenBucket(
-                rate, BURST, now, MAX_DEBT_S
+                rate, BURST_REQUESTS, now, MAX_DEBT_S
             )
         else:
-            bucket.resize(rate, BURST, now, 1.0)
+            bucket.resize(rate, BURST_REQUESTS, now, 1.0)
