End a test run that lost a worker, also while it is logging

The two tests of a lost worker in KNOWN-RED.txt failed now and then: the run did not end within 60 s.

Cause: the run's loop logs the closed connection of the lost worker without end, and the signal handler that notices the worker's exit raises its error inside that logging, where every Exception is printed and dropped.

Change: the error derives from BaseException. Its test fails before.

Ruled out: a missed signal (the handler had run in all 9), and a worker that stays alive (none was left).

--- a/tests/plugins/parallel.py
+++ b/tests/plugins/parallel.py
@@ -11,8 +11,13 @@
 TEST_LIMIT_S = 300
 
 
-class WorkerLostError(Exception):
-    """A worker process ended before it reported its test."""
+class WorkerLostError(BaseException):
+    """A worker process ended before it reported its test.
+
+    It is raised in a signal handler, which may interrupt code that swallows
+    exceptions: an `Exception` that interrupted the logging of a lost
+    connection was only printed, and the run went on for ever.
+    """
 
 
 class ParallelPlugin(mp.MultiProcess):
--- a/tests/test_parallel.py
+++ b/tests/test_parallel.py
@@ -1,11 +1,14 @@
 """Tests of the parallel plugin, which run small test suites."""
 
+import logging
 import pathlib
 import subprocess
 import sys
 import tempfile
 import unittest
 
+from tests.plugins import parallel
+
 ROOT = pathlib.Path(__file__).parents[1]
 
 CONFIG = """
@@ -70,3 +73,21 @@
         self.assertNotEqual(run.returncode, 0)
         self.assertIn('Timeout', run.stderr)
         self.assertIn('in test_second', run.stderr)
+
+
+class LostWorkerTest(unittest.TestCase):
+    """Guards against a run that goes on for ever after it lost a worker.
+
+    The signal handler that notices the loss mostly interrupts the logging of
+    the closed connection, which swallows exceptions.
+    """
+
+    def test_logging_does_not_swallow_the_error(self):
+        class InterruptedStream:
+            def write(self, text):
+                raise parallel.WorkerLostError('worker 1 ended')
+
+        handler = logging.StreamHandler(InterruptedStream())
+        record = logging.makeLogRecord({'msg': 'connection closed'})
+        with self.assertRaises(parallel.WorkerLostError):
+            handler.handle(record)
