--- a/lavenderstile/edge/target_limits.py
+++ b/lavenderstile/edge/target_limits.py
@@ -17,7 +17,7 @@
 
 # A target that takes fewer requests still gets some at this rate, because only
 # a response can show that the limit was lifted.
-MIN_RATE_PER_S = 0.2
+MIN_REQUESTS_PER_S = 0.2
 
 BURST_REQUESTS = 1.0
 
@@ -182,7 +182,7 @@
         if rate is None:
             self._buckets.pop(instance, None)
             return
-        rate = max(rate, MIN_RATE_PER_S)
+        rate = max(rate, MIN_REQUESTS_PER_S)
         bucket = self._buckets.get(instance)
         if bucket is None:
             self._buckets[instance] = rate_limits.TokenBucket(
