Notice connections that were established during a stall of the event loop

Callers of idempotent requests waited for another target, and targets were blocked for a second or more, when a busy host had just connected to them.

Cause: after a stall longer than the time limit of a connect (0.4 s), the limit expires in the same iteration of the event loop in which the connection is found established, and cancels it.

Change: a connect that has timed out gets 20 ms to be noticed as complete.

Ruled out: a longer limit, which a longer stall exceeds as well.

--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -23,6 +23,10 @@
 
 _READ_BYTES = 64 * 1024
 
+# After a stall of the event loop a connect that has timed out may be complete;
+# it gets this time to be noticed.
+STALL_GRACE_S = 0.02
+
 
 class ConnectError(Exception):
     """No connection was established, so nothing was sent."""
@@ -286,11 +290,19 @@
     """
     loop = asyncio.get_running_loop()
     memory = memory or response_memory.ResponseMemory()
+    connecting = asyncio.ensure_future(
+        loop.create_connection(
+            lambda: HttpConnection(loop, now, memory), address, port
+        )
+    )
     try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                lambda: HttpConnection(loop, now, memory), address, port
-            )
+        for limit_s in (timeout_s, STALL_GRACE_S):
+            done, _ = await asyncio.wait((connecting,), timeout=limit_s)
+            if done:
+                _, connection = connecting.result()
+                return connection
+        raise TimeoutError
     except (TimeoutError, OSError) as error:
         raise ConnectError(f'{address}:{port}: {error!r}') from error
-    return connection
+    finally:
+        connecting.cancel()
--- a/tests/edge/test_http_client.py
+++ b/tests/edge/test_http_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 import unittest
 
 import h11
@@ -79,3 +80,48 @@
     async def test_a_refused_connection(self):
         with self.assertRaises(http_client.ConnectError):
             await http_client.open_connection('127.0.0.1', 1, 0.0, 1.0)
+
+
+class ConnectTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against targets that count as unreachable on a busy host.
+
+    After a stall of the event loop the time limit of a connect expires in the
+    same iteration in which the connection is found established.
+    """
+
+    TIMEOUT_S = 0.1
+    STALL_S = 0.2
+
+    async def test_a_stall_does_not_fail_an_established_connection(self):
+        target = standin.RegisteredTarget()
+        address = await self.enterAsyncContext(target.serve())
+        host, _, port = address.rpartition(':')
+        for iterations in range(1, 5):
+            with self.subTest(iterations=iterations):
+                connect = asyncio.create_task(
+                    http_client.open_connection(
+                        host, int(port), 0.0, self.TIMEOUT_S
+                    )
+                )
+                for _ in range(iterations):
+                    await asyncio.sleep(0)
+                time.sleep(self.STALL_S)
+                connection = await connect
+                self.assertTrue(connection.is_open)
+                connection.close()
+
+    async def test_a_connect_without_an_answer_times_out(self):
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        # The queue of new connections is full, so that the next one hangs.
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        with self.assertRaises(http_client.ConnectError):
+            await http_client.open_connection(
+                *listener.getsockname(), 0.0, self.TIMEOUT_S
+            )
