--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -1,7 +1,6 @@
 """Tests of a fleet of host processes with the platform's protocol."""
 
 import asyncio
-import itertools
 import time
 import unittest
 
@@ -25,18 +24,25 @@
     }
 
 
-class FleetTest(unittest.IsolatedAsyncioTestCase):
-    """Guards the whole path of a request: caller, host, store and target."""
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Test case with a fleet of processes."""
+
+    HOSTS = 3
+    TARGETS = 3
 
     async def asyncSetUp(self):
         self.enterContext(fleet_slots.hold_fleet_slot())
         self.fleet = await self.enterAsyncContext(
-            edge_fleet.run_edge_fleet(hosts=3, targets=3)
+            edge_fleet.run_edge_fleet(hosts=self.HOSTS, targets=self.TARGETS)
         )
         self.client = await self.enterAsyncContext(
             httpx.AsyncClient(trust_env=False, timeout=LIMIT_S)
         )
 
+
+class FleetTest(FleetCase):
+    """Guards the whole path of a request: caller, host, store and target."""
+
     async def call(self, host, path='/read/1', **changes):
         """Send a request through a host."""
         return await self.client.get(
@@ -134,7 +140,7 @@
         self.assertIn('lavenderstile_edge_request_seconds', text)
 
 
-class TargetLimitTest(unittest.IsolatedAsyncioTestCase):
+class TargetLimitTest(FleetCase):
     """Guards against hosts that together exceed the limit of a target.
 
     A target in need states how many requests a second it takes from all hosts
@@ -142,6 +148,7 @@
     """
 
     HOSTS = 6
+    TARGETS = 6
     LIMIT_PER_S = 1.0
 
     # The other targets take this long, which makes the one in need attractive.
@@ -154,22 +161,10 @@
     OVERAGE = 1.5
     SLACK = 5
 
-    async def asyncSetUp(self):
-        self.enterContext(fleet_slots.hold_fleet_slot())
-        self.fleet = await self.enterAsyncContext(
-            edge_fleet.run_edge_fleet(hosts=self.HOSTS, targets=6)
-        )
-        self.client = await self.enterAsyncContext(
-            httpx.AsyncClient(trust_env=False, timeout=LIMIT_S)
-        )
-
     async def send_requests(self, duration_s, interval_s):
         """Send requests through each host in turn; return the statuses."""
-        ends_at = time.monotonic() + duration_s
         tasks = []
-        for number in itertools.count():
-            if time.monotonic() > ends_at:
-                break
+        for number in range(round(duration_s / interval_s)):
             host = self.fleet.hosts[number % self.HOSTS]
             headers = make_headers(f'r{number}')
             url = host.caller_url + '/read/1'
@@ -208,7 +203,7 @@
         self.assertEqual(set(statuses), {200})
 
 
-class RestoredRegistryTest(unittest.IsolatedAsyncioTestCase):
+class RestoredRegistryTest(FleetCase):
     """Guards against hosts that miss a change after the store was restored.
 
     Hosts that leave the calls to others did not notice that revisions were
@@ -216,6 +211,7 @@
     """
 
     HOSTS = 8
+    TARGETS = 2
 
     # Short enough that only the watchers notice the outage.
     OUTAGE_S = 0.8
@@ -223,15 +219,6 @@
     # A confirmed change has to be in force within this time.
     APPLY_S = 2.0
 
-    async def asyncSetUp(self):
-        self.enterContext(fleet_slots.hold_fleet_slot())
-        self.fleet = await self.enterAsyncContext(
-            edge_fleet.run_edge_fleet(hosts=self.HOSTS, targets=2)
-        )
-        self.client = await self.enterAsyncContext(
-            httpx.AsyncClient(trust_env=False, timeout=LIMIT_S)
-        )
-
     async def get_versions(self):
         """Return the version in force on each host."""
         versions = []
