Log crashes of targets and their reports with the request's digest

The logs couldn't tell a crash that isn't counted from one that other hosts don't hear of. crash_suspected has the request's id and what decided whether it counts, crash_reported what a peer told. No decision changes.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -582,8 +582,19 @@
     def _handle_broken_connection(self, call, known, connection, error):
         instance = known.target.instance
         now = self._clock.now()
-        if not error.response_started and not connection.is_reused:
+        is_counted = not error.response_started and not connection.is_reused
+        if is_counted:
             self._guard.record(call.digest, instance, now)
+        eliot.log_message(
+            'crash_suspected',
+            id=call.request_id,
+            digest=call.digest,
+            target=instance,
+            counted=is_counted,
+            reused=connection.is_reused,
+            response_started=error.response_started,
+            crashes=self._guard.count(call.digest, now),
+        )
         self._pools.drop(instance)
         self._record_fault(instance, FaultKind.BROKEN)
         return Failed(FaultKind.BROKEN, f'{instance}: {error}')
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -295,7 +295,7 @@
         for fault in update.faults:
             self._handle_fault(fault, update.address, now)
         for crash in update.crashes:
-            self._guard.record(crash.digest, crash.instance, now, False)
+            self._record_crash(crash, update.address, now)
             self._crashes.append(crash)
 
     def _handle_fault(self, fault, sender, now):
@@ -306,6 +306,19 @@
             return
         self._health.record_fault(fault.instance, kind, now)
 
+    def _record_crash(self, crash, sender, now):
+        before = self._guard.count(crash.digest, now)
+        self._guard.record(crash.digest, crash.instance, now, False)
+        crashes = self._guard.count(crash.digest, now)
+        if crashes != before:
+            eliot.log_message(
+                'crash_reported',
+                digest=crash.digest,
+                target=crash.instance,
+                sender=sender,
+                crashes=crashes,
+            )
+
     def _handle_digest(self, digest, data, sender, now):
         if digest.domain == self._fleet.domain:
             return
@@ -320,7 +333,7 @@
             digest.limits, target_limits.Source.OTHER_DOMAIN, now
         )
         for crash in digest.crashes:
-            self._guard.record(crash.digest, crash.instance, now, False)
+            self._record_crash(crash, digest.origin, now)
         if sender not in self._fleet.peers:
             for address in self._fleet.peers:
                 self._send(address, data)
