Reproduce a request that goes on crashing targets, in failing tests

When the connections are new, as in the test that was there, the third crash is the last: so the first hypothesis holds, crashes on kept connections aren't counted.

--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -155,6 +155,22 @@
         self.assertEqual(status, 503)
         self.assertIn(b'crashes_targets', body)
 
+    # Guards against crashes on kept connections that are not counted: the
+    # request goes on crashing targets.
+    async def test_a_crash_on_a_kept_connection_counts(self):
+        targets = [await self.add_target() for _ in range(8)]
+        while not all(target.seen for target in targets):
+            await self.request('/read/1')
+        for target in targets:
+            target.seen.clear()
+            target.behave = standin.reset
+        for _ in range(6):
+            await self.request('/read/poison')
+        self.assertLessEqual(sum(len(target.seen) for target in targets), 3)
+        status, _, body = await self.request('/read/poison')
+        self.assertEqual(status, 503)
+        self.assertIn(b'crashes_targets', body)
+
 
 class HedgingTest(edge_case.EdgeCase):
     """Guards against idempotent requests that wait for a silent target."""
--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -1,6 +1,7 @@
 """Tests of a fleet of host processes with the platform's protocol."""
 
 import asyncio
+import itertools
 import time
 import unittest
 
@@ -203,6 +204,77 @@
         self.assertEqual(set(statuses), {200})
 
 
+class CrashingRequestTest(FleetCase):
+    """Guards against a request that crashes one target after another.
+
+    It is repeated at all hosts of both domains, beside usual requests that
+    keep connections to the targets open.
+    """
+
+    HOSTS = 4
+    TARGETS = 8
+    DURATION_S = 9.0
+    INTERVAL_S = 0.1
+    POISON_INTERVAL_S = 0.5
+
+    # The fleet may send it this often again later than the time after the
+    # third crash.
+    LEARNING_S = 3.0
+    LATE_SENDS = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.crashes = []
+        for instance, target in self.fleet.targets.items():
+            target.behave = self._make_behaviour(instance)
+
+    def _make_behaviour(self, instance):
+        async def behave(target, request, writer):
+            if request.path != '/read/poison':
+                await registered_target.answer(target, request, writer)
+                return
+            self.crashes.append(time.monotonic())
+            # All connections of the target are reset, and it is back at once.
+            self.fleet.proxies[instance].reset()
+
+        return behave
+
+    async def call(self, host, path):
+        """Send a request through a host; return its status."""
+        response = await self.client.get(
+            host.caller_url + path, headers=make_headers()
+        )
+        return response.status_code
+
+    async def keep_connections_open(self):
+        """Send usual requests through all hosts until cancelled."""
+        while True:
+            await asyncio.gather(
+                *(
+                    self.call(host, f'/read/{number}')
+                    for host in self.fleet.hosts
+                    for number in range(4)
+                )
+            )
+            await asyncio.sleep(self.INTERVAL_S)
+
+    async def test_the_fleet_stops_sending_it(self):
+        usual = asyncio.create_task(self.keep_connections_open())
+        await asyncio.sleep(2.0)
+        statuses = []
+        end = time.monotonic() + self.DURATION_S
+        for host in itertools.cycle(self.fleet.hosts):
+            statuses.append(await self.call(host, '/read/poison'))
+            await asyncio.sleep(self.POISON_INTERVAL_S)
+            if time.monotonic() > end:
+                break
+        usual.cancel()
+        self.assertGreaterEqual(len(self.crashes), 3, statuses)
+        learnt_at = self.crashes[2] + self.LEARNING_S
+        late = [at for at in self.crashes if at > learnt_at]
+        self.assertLessEqual(len(late), self.LATE_SENDS, len(self.crashes))
+
+
 class RestoredRegistryTest(FleetCase):
     """Guards against hosts that miss a change after the store was restored.
 
