Count crashes of targets on kept connections

Callers saw: one request took 12 of 12 targets of a service down within 5 s; of 36 reads in a second 4 were served.

Cause: a crash counted only if the connection had carried no request before, since a target may close an idle connection just as a request is sent. More than half of the sends use a kept connection, in the test all of them.

Now each connection that the target ends while it has a request counts. What speaks against a crash is an answer: hosts report the answers to suspected requests, and a crash that was seen before the last answer doesn't count at any host. A time-out of the kernel, malformed bytes and our own limits are no crash. A request that was blocked while it waited is not sent, a suspected one gets no second target beside the first.

The messages keep their layout: a crash has its age behind its old fields, the answers come last.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -57,6 +57,8 @@
 
 MAX_LOGGED_SENDS = 4
 
+CRASH_DETAIL = 'earlier attempts of this request crashed their targets'
+
 
 def refuse(reason, detail, retry_after_s=None, verdict=Verdict.NOT_RUN):
     """Raise a `RefusedError` for a request."""
@@ -238,16 +240,16 @@
             request.method, request.path, workspace_name, request.body
         )
         if self._guard.is_blocked(call.digest, self._clock.now()):
-            refuse(
-                Reason.CRASHES_TARGETS,
-                'earlier attempts of this request crashed their targets',
-            )
+            refuse(Reason.CRASHES_TARGETS, CRASH_DETAIL)
 
     async def _forward(self, call):
         """Send the request until a target responds; return the response."""
         while True:
             known = await self._find_target(call)
             now = self._clock.now()
+            # It may have been blocked while it waited.
+            if self._guard.is_blocked(call.digest, now):
+                self._give_up(call, Reason.CRASHES_TARGETS, CRASH_DETAIL)
             if call.attempts and not self._may_send_again(call, now):
                 self._give_up(
                     call, Reason.TARGET_SHED, 'no further attempt allowed'
@@ -431,6 +433,8 @@
 
     def _choose_hedge(self, call):
         now = self._clock.now()
+        if self._guard.count(call.digest, now):
+            return None
         choice = self._choose(call, now)
         if not isinstance(choice, balancing.Chosen):
             return None
@@ -582,15 +586,14 @@
     def _handle_broken_connection(self, call, known, connection, error):
         instance = known.target.instance
         now = self._clock.now()
-        is_counted = not error.response_started and not connection.is_reused
-        if is_counted:
+        if error.peer_closed:
             self._guard.record(call.digest, instance, now)
         eliot.log_message(
             'crash_suspected',
             id=call.request_id,
             digest=call.digest,
             target=instance,
-            counted=is_counted,
+            counted=error.peer_closed,
             reused=connection.is_reused,
             response_started=error.response_started,
             crashes=self._guard.count(call.digest, now),
@@ -643,7 +646,7 @@
                 f'{instance}: status {response.status}',
                 response,
             )
-        self._guard.clear(call.digest)
+        self._guard.record_answer(call.digest, now)
         remote_load = self._balancer.record_load(instance, metadata.load, now)
         self._health.record_success(instance, call.service, duration_s, now)
         self._reports.add_success(
--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -36,12 +36,14 @@
     """The connection failed before the end of the response.
 
     The request may have run. `response_started` is true if the header of a
-    response was received.
+    response was received, `peer_closed` if the other side ended or reset the
+    connection while it had the request.
     """
 
-    def __init__(self, detail, response_started):
+    def __init__(self, detail, response_started, peer_closed=False):
         super().__init__(detail)
         self.response_started = response_started
+        self.peer_closed = peer_closed
 
 
 class HttpResponse:
@@ -183,7 +185,9 @@
         self._closed = True
         self._clear_body()
         if self._waiter is not None and not self._waiter.done():
-            self.give_up(f'connection lost: {error!r}')
+            # Without an acknowledgement in time the kernel gives up itself.
+            peer_closed = not isinstance(error, TimeoutError)
+            self.give_up(f'connection lost: {error!r}', peer_closed)
 
     def _feed(self, data):
         try:
@@ -192,7 +196,10 @@
                 if self._closed:
                     return
         except h11.RemoteProtocolError as error:
-            self.give_up(f'response is malformed or truncated: {error}')
+            self.give_up(
+                f'response is malformed or truncated: {error}',
+                peer_closed=not data,
+            )
 
     def _handle_event(self, event):
         match event:
@@ -209,7 +216,7 @@
                     self.give_up('too many informational responses')
                     return False
             case h11.ConnectionClosed():
-                self.give_up('connection closed before the response')
+                self.give_up('connection closed before the response', True)
                 return False
             case _:
                 return False
@@ -266,13 +273,13 @@
         if trailing:
             self._feed(trailing)
 
-    def give_up(self, detail):
+    def give_up(self, detail, peer_closed=False):
         """Fail the request in flight and close the connection."""
         response_started = self._response_head is not None
         self.close()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(
-                ConnectionBroken(detail, response_started)
+                ConnectionBroken(detail, response_started, peer_closed)
             )
 
     def close(self):
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from . import change_batches
+from . import crash_guard
 from . import health as health_module
 from . import messages
 from . import target_limits
@@ -46,6 +47,8 @@
 # Contact age in messages if there was no contact.
 MAX_CONTACT_AGE_S = 1000.0
 
+NO_CRASHES = crash_guard.CrashReports([], {})
+
 # Maximum number of hosts per other domain in a welcome.
 WELCOME_CONTACTS = 4
 
@@ -116,7 +119,7 @@
         self._reported_sends = {}
         self._reported_limits = {}
         self._reported_limited_sends = {}
-        self._crashes = []
+        self._crash_reports = crash_guard.CrashReports([], {})
         self._change_log = change_batches.ChangeLog()
         self._is_leaving = False
         self.apply_batch = _ignore
@@ -294,9 +297,8 @@
         self._waiting.wake()
         for fault in update.faults:
             self._handle_fault(fault, update.address, now)
-        for crash in update.crashes:
-            self._record_crash(crash, update.address, now)
-            self._crashes.append(crash)
+        self._record_crash_reports(update, update.address, now)
+        self._keep_crash_reports(update)
 
     def _handle_fault(self, fault, sender, now):
         try:
@@ -306,18 +308,27 @@
             return
         self._health.record_fault(fault.instance, kind, now)
 
-    def _record_crash(self, crash, sender, now):
-        before = self._guard.count(crash.digest, now)
-        self._guard.record(crash.digest, crash.instance, now, False)
-        crashes = self._guard.count(crash.digest, now)
-        if crashes != before:
-            eliot.log_message(
-                'crash_reported',
-                digest=crash.digest,
-                target=crash.instance,
-                sender=sender,
-                crashes=crashes,
+    def _record_crash_reports(self, reports, sender, now):
+        """Take over the crashes and answers that another host has seen."""
+        for crash in reports.crashes:
+            is_new = self._guard.record(
+                crash.digest, crash.instance, now - crash.age_s, is_own=False
             )
+            if is_new:
+                eliot.log_message(
+                    'crash_reported',
+                    digest=crash.digest,
+                    target=crash.instance,
+                    sender=sender,
+                    crashes=self._guard.count(crash.digest, now),
+                )
+        for digest, age_s in reports.answers.items():
+            self._guard.record_answer(digest, now - age_s, is_own=False)
+
+    def _keep_crash_reports(self, reports):
+        """Keep the reports of the domain for its next digest."""
+        self._crash_reports.crashes.extend(reports.crashes)
+        self._crash_reports.answers.update(reports.answers)
 
     def _handle_digest(self, digest, data, sender, now):
         if digest.domain == self._fleet.domain:
@@ -332,8 +343,7 @@
         self._target_limits.record_reports(
             digest.limits, target_limits.Source.OTHER_DOMAIN, now
         )
-        for crash in digest.crashes:
-            self._record_crash(crash, digest.origin, now)
+        self._record_crash_reports(digest, digest.origin, now)
         if sender not in self._fleet.peers:
             for address in self._fleet.peers:
                 self._send(address, data)
@@ -357,7 +367,9 @@
             self._update_timer.cancel()
         self._update_timer = loop.call_at(due_at, self._send_update, False)
 
-    def _make_update(self, reports=((), {}), crashes=(), is_full=True):
+    def _make_update(
+        self, reports=((), {}), crash_reports=NO_CRASHES, is_full=True
+    ):
         faults, successes = reports
         admitted = self._rate_limits.admitted
         sends = self._budgets.own
@@ -383,7 +395,7 @@
             dict(self._balancer.own_running),
             list(faults),
             successes,
-            list(crashes),
+            crash_reports.crashes,
             admitted,
             sends,
             self._directory.revision,
@@ -394,6 +406,7 @@
             limits,
             limited_sends,
             self._directory.position.era,
+            crash_reports.answers,
         )
 
     def _get_contact_age(self):
@@ -437,11 +450,11 @@
             self._update_timer.cancel()
             self._update_timer = None
         self._sent_at = self._clock.now()
-        crashes = [
-            messages.Crash(*crash) for crash in self._guard.take_new_crashes()
-        ]
-        self._crashes.extend(crashes)
-        update = self._make_update(self._reports.take(), crashes, is_full)
+        crash_reports = self._guard.take_new_reports(self._sent_at)
+        self._keep_crash_reports(crash_reports)
+        update = self._make_update(
+            self._reports.take(), crash_reports, is_full
+        )
         self._reported_admitted.update(update.admitted)
         self._reported_sends.update(update.sends)
         self._reported_limits.update(
@@ -454,7 +467,7 @@
 
     def _send_digests(self, now):
         if self._fleet.primary != self._fleet.address:
-            self._crashes.clear()
+            self._crash_reports = crash_guard.CrashReports([], {})
             return
         totals = dict(self._domain_admitted)
         for workspace, count in self._rate_limits.admitted.items():
@@ -470,14 +483,15 @@
                 totals,
                 self._outcomes.totals,
                 self._directory.revision,
-                self._crashes,
+                self._crash_reports.crashes,
                 self._target_limits.get_reports(
                     target_limits.Source.PEER, now
                 ),
                 self._directory.position.era,
+                self._crash_reports.answers,
             )
         )
-        self._crashes = []
+        self._crash_reports = crash_guard.CrashReports([], {})
         for domain in self._fleet.contacts:
             if domain != self._fleet.domain:
                 for address in self._choose_digest_receivers(domain, now):
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -37,6 +37,7 @@
 
     digest: str
     instance: str
+    age_s: float = 0.0
 
 
 class LimitReport(msgspec.Struct, array_like=True):
@@ -73,8 +74,9 @@
     latest position in the registry that the sender has, `contact_age_s` the
     time since the registry last responded to the sender. `limits` has the
     limits that targets stated, and `limited_sends` the requests to targets
-    while they were limited. Unless the update `is_full`, unchanged counts and
-    limits are left out.
+    while they were limited. `answers` has the ages in seconds of answers to
+    requests that were suspected of crashes, by digest. Unless the update
+    `is_full`, unchanged counts and limits are left out.
     """
 
     address: str
@@ -94,6 +96,7 @@
     limits: dict[str, LimitReport] = {}
     limited_sends: dict[str, int] = {}
     era: int = 0
+    answers: dict[str, float] = {}
 
     @property
     def position(self):
@@ -108,7 +111,7 @@
     domain's admitted requests by workspace since `started_ms`. `hosts` are
     some of the domain's hosts, `size` is the number of all. `outcomes` has
     the domain's requests and failures by service, `limits` the limits that
-    targets stated.
+    targets stated, `answers` the ages of answers to suspected requests.
     """
 
     origin: str
@@ -122,6 +125,7 @@
     crashes: list[Crash]
     limits: dict[str, LimitReport] = {}
     era: int = 0
+    answers: dict[str, float] = {}
 
     @property
     def position(self):
--- a/tests/edge/test_crash_guard.py
+++ b/tests/edge/test_crash_guard.py
@@ -3,6 +3,7 @@
 import unittest
 
 from lavenderstile.edge import crash_guard
+from lavenderstile.edge import messages
 
 
 class CrashGuardTest(unittest.TestCase):
@@ -22,19 +23,50 @@
         for number in range(3):
             self.guard.record(self.digest, f'i-{number}', 1.0, is_own=False)
         self.assertTrue(self.guard.is_blocked(self.digest, 1.0))
-        self.assertEqual(self.guard.take_new_crashes(), [])
+        self.assertEqual(self.guard.take_new_reports(1.0).crashes, [])
 
     def test_one_target_counts_once(self):
         for _ in range(5):
             self.guard.record(self.digest, 'i-1', 1.0)
         self.assertFalse(self.guard.is_blocked(self.digest, 1.0))
-        self.assertEqual(self.guard.take_new_crashes(), [(self.digest, 'i-1')])
+        crashes = self.guard.take_new_reports(1.5).crashes
+        self.assertEqual(
+            crashes, [messages.Crash(self.digest, 'i-1', age_s=0.5)]
+        )
 
     def test_an_answer_clears_the_request(self):
         for number in range(2):
             self.guard.record(self.digest, f'i-{number}', 1.0)
-        self.guard.clear(self.digest)
-        self.assertEqual(self.guard.count(self.digest, 1.0), 0)
+        self.guard.record_answer(self.digest, 2.0)
+        self.assertEqual(self.guard.count(self.digest, 2.0), 0)
+
+    def test_an_answer_at_a_peer_clears_the_request(self):
+        """Guards against a sound request that is refused.
+
+        Targets that reset connections for other reasons break it at several
+        hosts, while others serve it.
+        """
+        peer = crash_guard.CrashGuard()
+        for number in range(3):
+            self.guard.record(self.digest, f'i-{number}', 1.0)
+        for crash in self.guard.take_new_reports(1.0).crashes:
+            peer.record(crash.digest, crash.instance, 1.0, is_own=False)
+        peer.record_answer(self.digest, 2.0)
+        answers = peer.take_new_reports(2.5).answers
+        self.assertEqual(answers, {self.digest: 0.5})
+        self.guard.record_answer(self.digest, 2.0, is_own=False)
+        self.assertFalse(self.guard.is_blocked(self.digest, 2.5))
+
+    def test_a_late_report_of_a_crash_before_an_answer_does_not_count(self):
+        self.guard.record(self.digest, 'i-1', 1.0)
+        self.guard.record_answer(self.digest, 3.0)
+        for number in range(2, 6):
+            self.guard.record(self.digest, f'i-{number}', 2.5, is_own=False)
+        self.assertEqual(self.guard.count(self.digest, 4.0), 0)
+
+    def test_answers_to_requests_without_a_crash_are_not_reported(self):
+        self.guard.record_answer(self.digest, 1.0)
+        self.assertEqual(self.guard.take_new_reports(1.0).answers, {})
 
     def test_crashes_expire(self):
         for number in range(3):
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -5,6 +5,7 @@
 import unittest
 
 from lavenderstile import clocks
+from lavenderstile.edge import crash_guard
 from lavenderstile.edge import fleet
 from lavenderstile.edge import mesh
 from lavenderstile.edge import messages
@@ -37,7 +38,7 @@
         balancer=bench.balancer,
         budgets=types.SimpleNamespace(own={}),
         health=bench.health,
-        guard=types.SimpleNamespace(take_new_crashes=list),
+        guard=crash_guard.CrashGuard(),
         watcher_selection=types.SimpleNamespace(registry_contact_at=0.0),
         directory=bench.directory,
         outcomes=bench.outcomes,
