Repeat reports of crashes, so that no host misses a blocked request

A host that lost it, was cut off or started later went on sending the request until it had seen three crashes itself.

Full updates and digests now repeat recent reports for 1.2 s and the crashes of blocked requests while they are blocked; a host that is new to the domain gets them with the first update. Reports from other domains are not echoed.

--- a/lavenderstile/edge/crash_guard.py
+++ b/lavenderstile/edge/crash_guard.py
@@ -1,6 +1,7 @@
 """Detection of requests that crash targets, over the whole fleet."""
 
 import collections
+import dataclasses
 
 import xxhash
 
@@ -11,6 +12,11 @@
 RETENTION_S = 60.0
 MAX_DIGESTS = 2048
 
+# Time for which a report is repeated, so that one lost datagram does not
+# matter. Those of a blocked request are repeated while it is blocked.
+REPEAT_S = 1.2
+MAX_REPEATED = 100
+
 
 def make_digest(method, path, workspace, body):
     """Return a digest that is equal for repetitions of a request."""
@@ -29,6 +35,16 @@
         self.answers = answers
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """A crash, or an answer if there is no `instance`, and when it is old."""
+
+    digest: str
+    instance: str | None
+    seen_at: float
+    repeat_until: float
+
+
 class CrashRecord:
     """Crashes of the targets that ran one request, and its last answer.
 
@@ -56,14 +72,17 @@
     tell each other of the answers to suspected requests as well.
     """
 
-    __slots__ = ('_new_answers', '_new_crashes', '_records')
+    __slots__ = ('_blocked', '_new', '_records', '_repeated')
 
     def __init__(self):
         self._records = collections.OrderedDict()
-        self._new_crashes = {}
-        self._new_answers = {}
+        self._blocked = set()
+        self._new = []
+        self._repeated = collections.deque(maxlen=MAX_REPEATED)
 
-    def record(self, digest, instance, seen_at, is_own=True):
+    def record(
+        self, digest, instance, seen_at, is_own=True, is_own_domain=True
+    ):
         """Record that a target crashed while it ran a request.
 
         Returns whether this was not known.
@@ -72,21 +91,31 @@
         if instance in record.crashes or seen_at <= record.answered_at:
             return False
         record.crashes[instance] = seen_at
-        if is_own:
-            self._new_crashes[digest, instance] = seen_at
+        if record.count(seen_at) >= BLOCKING_CRASHES:
+            self._blocked.add(digest)
+        if is_own_domain:
+            self._add_report(digest, instance, seen_at, is_own)
         return True
 
-    def record_answer(self, digest, seen_at, is_own=True):
+    def record_answer(self, digest, seen_at, is_own=True, is_own_domain=True):
         """Record that a target answered a request, if it is suspected."""
         if digest not in self._records:
             return
         record = self._records[digest]
         if seen_at <= record.answered_at:
             return
-        if is_own and record.count(seen_at):
-            self._new_answers[digest] = seen_at
+        if is_own_domain and record.count(seen_at):
+            self._add_report(digest, None, seen_at, is_own)
         record.answered_at = seen_at
 
+    def _add_report(self, digest, instance, seen_at, is_own):
+        observation = Observation(
+            digest, instance, seen_at, seen_at + REPEAT_S
+        )
+        self._repeated.append(observation)
+        if is_own:
+            self._new.append(observation)
+
     def _get_record(self, digest):
         record = self._records.get(digest)
         if record is None:
@@ -107,16 +136,44 @@
 
     def take_new_reports(self, now):
         """Return what this host has seen since the last call."""
-        crashes = [
-            messages.Crash(digest, instance, _get_age(at, now))
-            for (digest, instance), at in self._new_crashes.items()
-        ]
-        answers = {
-            digest: _get_age(at, now)
-            for digest, at in self._new_answers.items()
+        reports, self._new = _make_reports(self._new, now), []
+        return reports
+
+    def get_reports(self, now):
+        """Return the reports of the own domain to repeat.
+
+        These are the recent ones, and the crashes of all blocked requests.
+        """
+        reports = _make_reports(
+            [seen for seen in self._repeated if seen.repeat_until > now], now
+        )
+        known = {(crash.digest, crash.instance) for crash in reports.crashes}
+        self._blocked = {
+            digest for digest in self._blocked if self.is_blocked(digest, now)
         }
-        self._new_crashes, self._new_answers = {}, {}
-        return CrashReports(crashes, answers)
+        reports.crashes.extend(
+            _make_crash(digest, instance, seen_at, now)
+            for digest in self._blocked
+            for instance, seen_at in self._records[digest].crashes.items()
+            if (digest, instance) not in known
+        )
+        return reports
+
+
+def _make_reports(observations, now):
+    crashes, answers = [], {}
+    for seen in observations:
+        if seen.instance is None:
+            answers[seen.digest] = _get_age(seen.seen_at, now)
+        else:
+            crashes.append(
+                _make_crash(seen.digest, seen.instance, seen.seen_at, now)
+            )
+    return CrashReports(crashes, answers)
+
+
+def _make_crash(digest, instance, seen_at, now):
+    return messages.Crash(digest, instance, _get_age(seen_at, now))
 
 
 def _get_age(seen_at, now):
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -13,7 +13,6 @@
 import msgspec
 
 from . import change_batches
-from . import crash_guard
 from . import health as health_module
 from . import messages
 from . import target_limits
@@ -47,8 +46,6 @@
 # Contact age in messages if there was no contact.
 MAX_CONTACT_AGE_S = 1000.0
 
-NO_CRASHES = crash_guard.CrashReports([], {})
-
 # Maximum number of hosts per other domain in a welcome.
 WELCOME_CONTACTS = 4
 
@@ -119,7 +116,6 @@
         self._reported_sends = {}
         self._reported_limits = {}
         self._reported_limited_sends = {}
-        self._crash_reports = crash_guard.CrashReports([], {})
         self._change_log = change_batches.ChangeLog()
         self._is_leaving = False
         self.apply_batch = _ignore
@@ -298,7 +294,6 @@
         for fault in update.faults:
             self._handle_fault(fault, update.address, now)
         self._record_crash_reports(update, update.address, now)
-        self._keep_crash_reports(update)
 
     def _handle_fault(self, fault, sender, now):
         try:
@@ -308,11 +303,15 @@
             return
         self._health.record_fault(fault.instance, kind, now)
 
-    def _record_crash_reports(self, reports, sender, now):
+    def _record_crash_reports(self, reports, sender, now, is_own_domain=True):
         """Take over the crashes and answers that another host has seen."""
         for crash in reports.crashes:
             is_new = self._guard.record(
-                crash.digest, crash.instance, now - crash.age_s, is_own=False
+                crash.digest,
+                crash.instance,
+                now - crash.age_s,
+                is_own=False,
+                is_own_domain=is_own_domain,
             )
             if is_new:
                 eliot.log_message(
@@ -323,12 +322,12 @@
                     crashes=self._guard.count(crash.digest, now),
                 )
         for digest, age_s in reports.answers.items():
-            self._guard.record_answer(digest, now - age_s, is_own=False)
-
-    def _keep_crash_reports(self, reports):
-        """Keep the reports of the domain for its next digest."""
-        self._crash_reports.crashes.extend(reports.crashes)
-        self._crash_reports.answers.update(reports.answers)
+            self._guard.record_answer(
+                digest,
+                now - age_s,
+                is_own=False,
+                is_own_domain=is_own_domain,
+            )
 
     def _handle_digest(self, digest, data, sender, now):
         if digest.domain == self._fleet.domain:
@@ -343,7 +342,9 @@
         self._target_limits.record_reports(
             digest.limits, target_limits.Source.OTHER_DOMAIN, now
         )
-        self._record_crash_reports(digest, digest.origin, now)
+        self._record_crash_reports(
+            digest, digest.origin, now, is_own_domain=False
+        )
         if sender not in self._fleet.peers:
             for address in self._fleet.peers:
                 self._send(address, data)
@@ -368,7 +369,7 @@
         self._update_timer = loop.call_at(due_at, self._send_update, False)
 
     def _make_update(
-        self, reports=((), {}), crash_reports=NO_CRASHES, is_full=True
+        self, reports=((), {}), new_crash_reports=None, is_full=True
     ):
         faults, successes = reports
         admitted = self._rate_limits.admitted
@@ -377,7 +378,9 @@
             target_limits.Source.RESPONSE, self._clock.now()
         )
         limited_sends = self._target_limits.sends
+        crash_reports = self._guard.get_reports(self._clock.now())
         if not is_full:
+            crash_reports = new_crash_reports
             admitted = _find_changed(admitted, self._reported_admitted)
             sends = _find_changed(sends, self._reported_sends)
             limits = {
@@ -450,10 +453,10 @@
             self._update_timer.cancel()
             self._update_timer = None
         self._sent_at = self._clock.now()
-        crash_reports = self._guard.take_new_reports(self._sent_at)
-        self._keep_crash_reports(crash_reports)
         update = self._make_update(
-            self._reports.take(), crash_reports, is_full
+            self._reports.take(),
+            self._guard.take_new_reports(self._sent_at),
+            is_full,
         )
         self._reported_admitted.update(update.admitted)
         self._reported_sends.update(update.sends)
@@ -467,12 +470,12 @@
 
     def _send_digests(self, now):
         if self._fleet.primary != self._fleet.address:
-            self._crash_reports = crash_guard.CrashReports([], {})
             return
         totals = dict(self._domain_admitted)
         for workspace, count in self._rate_limits.admitted.items():
             totals[workspace] = totals.get(workspace, 0) + count
         members = sorted(self._fleet.members)
+        crash_reports = self._guard.get_reports(now)
         data = messages.pack(
             messages.Digest(
                 self._fleet.address,
@@ -483,15 +486,14 @@
                 totals,
                 self._outcomes.totals,
                 self._directory.revision,
-                self._crash_reports.crashes,
+                crash_reports.crashes,
                 self._target_limits.get_reports(
                     target_limits.Source.PEER, now
                 ),
                 self._directory.position.era,
-                self._crash_reports.answers,
+                crash_reports.answers,
             )
         )
-        self._crash_reports = crash_guard.CrashReports([], {})
         for domain in self._fleet.contacts:
             if domain != self._fleet.domain:
                 for address in self._choose_digest_receivers(domain, now):
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -33,13 +33,19 @@
         waiting=types.SimpleNamespace(counts={}, wake=lambda: None),
         clock=clocks.Clock(),
         fleet=view,
-        rate_limits=types.SimpleNamespace(admitted={'shop': 1}),
+        rate_limits=types.SimpleNamespace(
+            admitted={'shop': 1}, record=lambda added, now: None
+        ),
         target_limits=bench.target_limits,
         balancer=bench.balancer,
-        budgets=types.SimpleNamespace(own={}),
+        budgets=types.SimpleNamespace(
+            own={}, record_peer=lambda *counts: None
+        ),
         health=bench.health,
         guard=crash_guard.CrashGuard(),
-        watcher_selection=types.SimpleNamespace(registry_contact_at=0.0),
+        watcher_selection=types.SimpleNamespace(
+            registry_contact_at=0.0, record_peer_position=lambda _: None
+        ),
         directory=bench.directory,
         outcomes=bench.outcomes,
         reports=mesh.Reports(),
@@ -92,3 +98,57 @@
         interval_s = subject._get_full_update_interval()
         self.assertAlmostEqual(interval_s, 3 * mesh.HEARTBEAT_INTERVAL_S)
         self.assertLess(interval_s, rate_limits.MAX_DEBT_S)
+
+
+class CrashReportTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against hosts that go on sending a request that others block.
+
+    A report is lost with its datagram, and a host that starts later gets none.
+    """
+
+    DIGEST = 'ff'
+
+    def setUp(self):
+        self.subject, self.sent = make_mesh(1)
+        self.guard = self.subject._guard
+        self.now = self.subject._clock.now()
+
+    def crash(self, targets, now):
+        """Let targets crash, and lose the updates that report it."""
+        for number in range(targets):
+            self.guard.record(self.DIGEST, f'i-{number}', now)
+        self.subject._send_update(is_full=False)
+        self.sent.clear()
+
+    def get_sent_crashes(self):
+        """Return the instances in the reports of the last message."""
+        message, _ = self.sent[-1]
+        return {crash.instance for crash in message.crashes}
+
+    async def test_full_updates_repeat_the_crashes_of_blocked_requests(self):
+        self.crash(3, self.now - 30.0)
+        self.subject._send_update()
+        self.assertEqual(self.get_sent_crashes(), {'i-0', 'i-1', 'i-2'})
+
+    async def test_full_updates_repeat_recent_crashes(self):
+        self.crash(1, self.now)
+        self.subject._send_update()
+        self.assertEqual(self.get_sent_crashes(), {'i-0'})
+
+    async def test_a_host_that_starts_later_is_told(self):
+        self.crash(3, self.now - 30.0)
+        self.subject._handle_update(builders.make_update('10.1.2.9'), self.now)
+        self.assertEqual(self.get_sent_crashes(), {'i-0', 'i-1', 'i-2'})
+
+    async def test_digests_repeat_the_crashes_of_blocked_requests(self):
+        self.crash(3, self.now - 30.0)
+        self.subject._fleet.learn_contacts({'b': ['10.2.0.1']})
+        for _ in range(2):
+            self.sent.clear()
+            self.subject._send_digests(self.now)
+            self.assertEqual(self.get_sent_crashes(), {'i-0', 'i-1', 'i-2'})
+
+    async def test_updates_do_not_repeat_old_crashes_for_ever(self):
+        self.crash(1, self.now)
+        later = self.now + crash_guard.REPEAT_S + 0.1
+        self.assertEqual(self.guard.get_reports(later).crashes, [])
