Count each run of a target that crashes, and block a request for longer

A block ended after 60 s, and three more targets crashed each time. Suspected requests could displace a blocked one from the register.

Crashes are counted by run (instance and start). Blocked requests are dropped last.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -587,7 +587,8 @@
         instance = known.target.instance
         now = self._clock.now()
         if error.peer_closed:
-            self._guard.record(call.digest, instance, now)
+            run = crash_guard.identify_run(known.target)
+            self._guard.record(call.digest, run, now)
         eliot.log_message(
             'crash_suspected',
             id=call.request_id,
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -308,7 +308,7 @@
         for crash in reports.crashes:
             is_new = self._guard.record(
                 crash.digest,
-                crash.instance,
+                crash.run,
                 now - crash.age_s,
                 is_own=False,
                 is_own_domain=is_own_domain,
@@ -317,7 +317,7 @@
                 eliot.log_message(
                     'crash_reported',
                     digest=crash.digest,
-                    target=crash.instance,
+                    run=crash.run,
                     sender=sender,
                     crashes=self._guard.count(crash.digest, now),
                 )
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -33,10 +33,10 @@
 
 
 class Crash(msgspec.Struct, array_like=True):
-    """A target crashed while it ran a request with this digest."""
+    """A run of a target ended while it had a request with this digest."""
 
     digest: str
-    instance: str
+    run: str
     age_s: float = 0.0
 
 
--- a/tests/edge/test_crash_guard.py
+++ b/tests/edge/test_crash_guard.py
@@ -4,6 +4,7 @@
 
 from lavenderstile.edge import crash_guard
 from lavenderstile.edge import messages
+from tests.edge import builders
 
 
 class CrashGuardTest(unittest.TestCase):
@@ -50,7 +51,7 @@
         for number in range(3):
             self.guard.record(self.digest, f'i-{number}', 1.0)
         for crash in self.guard.take_new_reports(1.0).crashes:
-            peer.record(crash.digest, crash.instance, 1.0, is_own=False)
+            peer.record(crash.digest, crash.run, 1.0, is_own=False)
         peer.record_answer(self.digest, 2.0)
         answers = peer.take_new_reports(2.5).answers
         self.assertEqual(answers, {self.digest: 0.5})
@@ -79,3 +80,43 @@
         self.assertNotEqual(self.digest, make('GET', '/x', 'shop', b''))
         self.assertNotEqual(self.digest, make('GET', '/x', 'club', b'1'))
         self.assertEqual(self.digest, make('GET', '/x', 'club', b''))
+
+    def test_runs_of_one_target_count_separately(self):
+        """Guards against a service with one target that is never protected.
+
+        The target comes back under the same name after each crash.
+        """
+        for started_ms in range(3):
+            run = crash_guard.identify_run(
+                builders.make_target('i-1', started_ms=started_ms)
+            )
+            self.guard.record(self.digest, run, 1.0 + started_ms)
+        self.assertTrue(self.guard.is_blocked(self.digest, 4.0))
+
+    def test_a_crash_after_the_time_blocks_again(self):
+        """Guards against three more crashes each time that a block ends."""
+        for number in range(3):
+            self.guard.record(self.digest, f'i-{number}', 1.0)
+        end = 1.0 + crash_guard.BLOCK_S
+        self.assertTrue(self.guard.is_blocked(self.digest, end - 0.1))
+        self.assertFalse(self.guard.is_blocked(self.digest, end + 0.1))
+        self.assertEqual(self.guard.count(self.digest, end + 0.1), 3)
+        self.guard.record(self.digest, 'i-4', end + 0.2)
+        later = end + 1.5 * crash_guard.BLOCK_S
+        self.assertTrue(self.guard.is_blocked(self.digest, later))
+
+    def test_a_peer_blocks_as_long(self):
+        peer = crash_guard.CrashGuard()
+        for number in range(4):
+            self.guard.record(self.digest, f'i-{number}', 1.0)
+        now = 1.5 * crash_guard.BLOCK_S
+        for crash in self.guard.get_reports(now).crashes:
+            peer.record(crash.digest, crash.run, now - crash.age_s)
+        self.assertTrue(peer.is_blocked(self.digest, now))
+
+    def test_a_blocked_request_is_not_displaced_by_suspected_ones(self):
+        for number in range(3):
+            self.guard.record(self.digest, f'i-{number}', 1.0)
+        for number in range(crash_guard.MAX_DIGESTS + 10):
+            self.guard.record(f'd-{number}', 'i-1', 1.0)
+        self.assertTrue(self.guard.is_blocked(self.digest, 2.0))
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -123,7 +123,7 @@
     def get_sent_crashes(self):
         """Return the instances in the reports of the last message."""
         message, _ = self.sent[-1]
-        return {crash.instance for crash in message.crashes}
+        return {crash.run for crash in message.crashes}
 
     async def test_full_updates_repeat_the_crashes_of_blocked_requests(self):
         self.crash(3, self.now - 30.0)
