Log when a host loses and regains its connections to the targets

A host that is cut off from all targets wrote one line for each failed connect, up to 274 a second over the fleet, and none that says since when it believes what. The evidence is kept in edge/paths.py: two targets that can't be connected to, with no new connection in between. No decision changes.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -81,6 +81,7 @@
         self._health = parts.health
         self._outcomes = parts.outcomes
         self._pools = parts.pools
+        self._paths = parts.paths
         self._target_limits = parts.target_limits
         self._guard = parts.guard
         self._reports = parts.reports
@@ -481,7 +482,10 @@
             )
         except http_client.ConnectError as error:
             self._record_unreachable(instance, str(error))
+            self._paths.record_failure(instance, str(error), self._clock.now())
             return Unreachable(str(error))
+        if not connection.uses:
+            self._paths.record_success(instance, self._clock.now())
         fault = self._recheck_choice(call, known)
         remaining_s = call.deadline - self._clock.now()
         if fault is not None or remaining_s < MIN_REMAINING_S:
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -20,6 +20,7 @@
 from . import mesh as mesh_module
 from . import metrics as metrics_module
 from . import outcomes as outcomes_module
+from . import paths as paths_module
 from . import rate_limits as rate_limits_module
 from . import registry
 from . import target_limits as target_limits_module
@@ -58,6 +59,7 @@
         'health',
         'metrics',
         'outcomes',
+        'paths',
         'pools',
         'rate_limits',
         'reports',
@@ -94,6 +96,7 @@
         )
         self.budgets = budgets_module.Budgets(settings.limits, clock.now())
         self.pools = target_pools.TargetPools(clock)
+        self.paths = paths_module.Paths()
         self.guard = crash_guard.CrashGuard()
         self.reports = mesh_module.Reports()
 
@@ -190,6 +193,7 @@
             'revision': parts.directory.revision,
             'registry_lost_for_s': self._get_registry_outage(now),
             'evacuated': sorted(parts.directory.evacuated),
+            'targets_lost_for_s': round(parts.paths.get_cut_duration(now), 2),
             'hosts_heard': parts.fleet.count_reachable(now),
             'hosts_of_domain': sorted(parts.fleet.members),
             'connections': self._callers.open_count,
