Reproduce hosts without a path to the targets, in failing tests

In a fleet of five host processes the three of one domain have paths to the targets of their own. When these refuse connections or let them hang, the three hosts serve 0 of 20 requests each from 3 s after the cut on, the two others 20 of 20.

--- a/emulator/edge_fleet.py
+++ b/emulator/edge_fleet.py
@@ -96,10 +96,18 @@
 
 
 class EdgeFleet:
-    """Hosts, targets and the store, with fault proxies between them."""
+    """Hosts, targets and the store, with fault proxies between them.
 
-    def __init__(self, directory, net):
+    The hosts with the numbers in `separate_hosts` have proxies to the targets
+    of their own, so that they can be cut off. A store of their own lists
+    these; it must not change while the hosts run.
+    """
+
+    def __init__(self, directory, net, separate_hosts=()):
         self.store = registry_store.RegistryStore()
+        self.separate_proxies = {}
+        self._separate_hosts = frozenset(separate_hosts)
+        self._separate_store = registry_store.RegistryStore()
         self.hosts = []
         self.targets = {}
         self.proxies = {}
@@ -118,13 +126,22 @@
         registry = await enter(self.store_proxy.serve())
         for number in range(targets):
             await self.add_target(f'i-{number}', DOMAINS[number % 2])
-        self.store.put('op/config', registry_store.describe_configuration(1))
+        separate_registry = await enter(
+            registry_store.serve_store(self._separate_store)
+        )
+        for store in (self.store, self._separate_store):
+            store.put('op/config', registry_store.describe_configuration(1))
         addresses = [f'{self._net}.{number + 1}' for number in range(hosts)]
         for number, address in enumerate(addresses):
             domain = DOMAINS[number % 2]
             name = f'host-{number}'
             host = EdgeHost(name, address, domain, self._directory)
-            host.write_settings(addresses[:3], registry)
+            host.write_settings(
+                addresses[:3],
+                separate_registry
+                if number in self._separate_hosts
+                else registry,
+            )
             self.hosts.append(host)
             await host.process.start()
         for host in self.hosts:
@@ -134,15 +151,18 @@
         """Start a target and register it; return it."""
         enter = self._stack.enter_async_context
         target = registered_target.RegisteredTarget()
-        proxy = fault_proxy.FaultProxy(await enter(target.serve()))
-        address = await enter(proxy.serve())
+        target_address = await enter(target.serve())
         self.targets[instance] = target
-        self.proxies[instance] = proxy
         number = len(self.targets)
-        entry = registry_store.describe_target(
-            address, number, zone=domain, **changes
-        )
-        self.store.put(f'servers/{instance}', entry)
+        for store, proxies in (
+            (self.store, self.proxies),
+            (self._separate_store, self.separate_proxies),
+        ):
+            proxy = proxies[instance] = fault_proxy.FaultProxy(target_address)
+            entry = registry_store.describe_target(
+                await enter(proxy.serve()), number, zone=domain, **changes
+            )
+            store.put(f'servers/{instance}', entry)
         return target
 
     async def wait_until_ready(self, host):
@@ -174,13 +194,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_edge_fleet(hosts=4, targets=4):
+async def run_edge_fleet(hosts=4, targets=4, separate_hosts=()):
     """Start a fleet; yield it; stop it at the end."""
     with (
         tempfile.TemporaryDirectory() as directory,
         _reserve_net() as net,
     ):
-        running = EdgeFleet(pathlib.Path(directory), net)
+        running = EdgeFleet(pathlib.Path(directory), net, separate_hosts)
         try:
             await running.start(hosts, targets)
             yield running
--- a/emulator/fault_proxy.py
+++ b/emulator/fault_proxy.py
@@ -3,12 +3,16 @@
 import asyncio
 import contextlib
 import enum
+import socket
 
 READ_BYTES = 65536
 
 # Delay of each read of up to READ_BYTES in the mode DELAY.
 DELAY_S = 0.2
 
+# Connections that fill the queue of a listener with a backlog of 0.
+QUEUE_FILLERS = 2
+
 
 class Mode(enum.Enum):
     """How the proxy handles data on open and new connections."""
@@ -33,6 +37,9 @@
         host, _, port = address.rpartition(':')
         self.mode = Mode.PASS
         self._server_address = host, int(port)
+        self._listener = None
+        self._hanging_sockets = []
+        self._listen_address = None
         self._connections = set()
         self._silenced = set()
 
@@ -91,14 +98,49 @@
         """Drop all further data of open connections; new ones work."""
         self._silenced.update(self._connections)
 
+    @property
+    def connection_count(self):
+        """Number of open connections."""
+        return len(self._connections)
+
+    def hang(self):
+        """Let open connections and attempts at new ones hang."""
+        self.mode = Mode.SILENT
+        self._listener.close()
+        listener = socket.socket()
+        self._hanging_sockets.append(listener)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._listen_address)
+        listener.listen(0)
+        # When its queue is full, the kernel drops further attempts.
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            self._hanging_sockets.append(filler)
+            filler.setblocking(False)
+            filler.connect_ex(self._listen_address)
+
+    def refuse(self):
+        """Refuse new connections; open ones live on."""
+        self._listener.close()
+
+    async def accept_again(self):
+        """Accept new connections again, at the same address."""
+        self._listener = await asyncio.start_server(
+            self._serve, *self._listen_address
+        )
+
     @contextlib.asynccontextmanager
     async def serve(self):
         """Serve inside the running event loop; yield the address."""
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
+        self._listen_address = '127.0.0.1', 0
+        await self.accept_again()
+        host, port = self._listener.sockets[0].getsockname()
+        self._listen_address = host, port
         try:
             yield f'{host}:{port}'
         finally:
-            server.close()
+            self._listener.close()
+            for hanging in self._hanging_sockets:
+                hanging.close()
             self.reset()
             await asyncio.sleep(0)
--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -30,11 +30,14 @@
 
     HOSTS = 3
     TARGETS = 3
+    SEPARATE_HOSTS = ()
 
     async def asyncSetUp(self):
         self.enterContext(fleet_slots.hold_fleet_slot())
         self.fleet = await self.enterAsyncContext(
-            edge_fleet.run_edge_fleet(hosts=self.HOSTS, targets=self.TARGETS)
+            edge_fleet.run_edge_fleet(
+                self.HOSTS, self.TARGETS, self.SEPARATE_HOSTS
+            )
         )
         self.client = await self.enterAsyncContext(
             httpx.AsyncClient(trust_env=False, timeout=LIMIT_S)
@@ -322,3 +325,102 @@
         self.put_version(9)
         await asyncio.sleep(self.APPLY_S)
         self.assertEqual(set(await self.get_versions()), {9})
+
+
+class PartitionedHostTest(FleetCase):
+    """Guards against callers that a host refuses because it is cut off.
+
+    All hosts of one domain lose their connections to the targets, while
+    callers, the registry and the hosts of the other domain still reach them.
+    """
+
+    HOSTS = 5
+    TARGETS = 6
+    SEPARATE_HOSTS = (0, 2, 4)
+
+    # From this time on a host that is cut off has to serve its callers.
+    LEARNING_S = 3.0
+    REQUESTS = 20
+    # Of the requests at a host, as often as two thirds of those elsewhere.
+    LEAST_SERVED = 14
+    RECOVERY_LIMIT_S = 3.0
+
+    async def send(self, host, number):
+        """Send a request through a host; return its status."""
+        is_unsafe = number % 2
+        try:
+            response = await self.client.request(
+                'POST' if is_unsafe else 'GET',
+                f'{host.caller_url}/{"pay" if is_unsafe else "read"}/{number}',
+                headers=make_headers(f'{host.name}-{number}'),
+                content=b'x' if is_unsafe else None,
+            )
+        except httpx.HTTPError:
+            return 0
+        return response.status_code
+
+    async def send_many(self, host):
+        """Send several requests; return their statuses."""
+        statuses = []
+        for number in range(self.REQUESTS):
+            statuses.append(await self.send(host, number))
+            await asyncio.sleep(0.02)
+        return statuses
+
+    def list_cut_hosts(self):
+        """Return the hosts that can be cut off."""
+        return [self.fleet.hosts[number] for number in self.SEPARATE_HOSTS]
+
+    async def check_service(self):
+        """Check that hosts that have been cut off serve their callers."""
+        end = time.monotonic() + self.LEARNING_S
+        while time.monotonic() < end:
+            for host in self.list_cut_hosts():
+                await self.send(host, 0)
+            await asyncio.sleep(0.1)
+        results = await asyncio.gather(
+            *(self.send_many(host) for host in self.fleet.hosts)
+        )
+        for statuses in results:
+            served = statuses.count(200)
+            self.assertGreaterEqual(served, self.LEAST_SERVED, results)
+
+    def count_separate_connections(self):
+        """Return the number of connections that cut hosts have."""
+        return sum(
+            proxy.connection_count
+            for proxy in self.fleet.separate_proxies.values()
+        )
+
+    async def test_refused_connections(self):
+        for proxy in self.fleet.separate_proxies.values():
+            proxy.refuse()
+            proxy.reset()
+        await self.check_service()
+
+    async def test_connections_that_hang(self):
+        for proxy in self.fleet.separate_proxies.values():
+            proxy.hang()
+        await self.check_service()
+
+    async def test_open_connections_that_live_on(self):
+        for host in self.list_cut_hosts():
+            await self.send_many(host)
+        for proxy in self.fleet.separate_proxies.values():
+            proxy.refuse()
+        await self.check_service()
+
+    async def test_a_host_uses_its_own_connections_after_the_cut(self):
+        for proxy in self.fleet.separate_proxies.values():
+            proxy.refuse()
+            proxy.reset()
+        await self.check_service()
+        for proxy in self.fleet.separate_proxies.values():
+            await proxy.accept_again()
+        end = time.monotonic() + self.RECOVERY_LIMIT_S
+        hosts = self.list_cut_hosts()
+        while time.monotonic() < end:
+            for host in hosts:
+                self.assertEqual(await self.send(host, 0), 200)
+            await asyncio.sleep(0.1)
+        self.assertGreaterEqual(self.count_separate_connections(), len(hosts))
