Relay requests through other hosts while a host reaches no target

Cause: a host's own links were its only way to a target. Which hosts reach the targets was known to nobody, and the balancer goes on sending callers to a host that is cut off, also when it says that it isn't ready, if most of the domain is.

Now a host counts itself as cut off when connections to two targets failed with no new connection in between. It tells its peers, and sends its requests over HTTP to a host of its domain that reaches the targets, or of any domain if less than half of its own does (the digests name some). The other host doesn't take a token, count the request or relay it again; attempts and tried targets of both count together, so that a request that isn't idempotent is sent on one connection only; a host with an older configuration refuses. Every 0.3 s one test connection finds the end of the cut. Without another host a cut that has lasted 0.5 s is refused at once, with a true not-run. Connections lost in a cut are neither faults of the targets for others nor crashes.

Ruled out: leaving the balancer (it uses all hosts of a domain if less than half are ready, and open connections stay), and forwarding of connections without a look at them (the peer's own counts and limits would not hold).

--- a/lavenderstile/edge/callers.py
+++ b/lavenderstile/edge/callers.py
@@ -51,14 +51,18 @@
 
 
 class CallerResponse:
-    """A response to a caller; `headers` are pairs of bytes."""
+    """A response to a caller; `headers` are pairs of bytes.
 
-    __slots__ = ('body', 'headers', 'status')
+    `refusal` is the `verdicts.Refusal` behind a response of the host itself.
+    """
 
-    def __init__(self, status, headers=(), body=b''):
+    __slots__ = ('body', 'headers', 'refusal', 'status')
+
+    def __init__(self, status, headers=(), body=b'', refusal=None):
         self.status = status
         self.headers = headers
         self.body = body
+        self.refusal = refusal
 
 
 class RequestError(Exception):
--- a/lavenderstile/edge/calls.py
+++ b/lavenderstile/edge/calls.py
@@ -40,7 +40,11 @@
 
 
 class Call:
-    """A request that is forwarded, with its attempts so far."""
+    """A request that is forwarded, with its attempts so far.
+
+    `relayed` is the `RelayedRequest` if another host sent it, which may have
+    made some of the attempts.
+    """
 
     __slots__ = (
         'attempts',
@@ -51,7 +55,9 @@
         'failure',
         'key',
         'may_have_run',
+        'may_relay',
         'priority',
+        'relayed',
         'request',
         'request_id',
         'retry_after_s',
@@ -63,7 +69,9 @@
         'workspace',
     )
 
-    def __init__(self, request, parsed, route, workspace, deadline):
+    def __init__(
+        self, request, parsed, route, workspace, deadline, relayed=None
+    ):
         self.request = request
         self.request_id = parsed.request_id
         self.key = parsed.key
@@ -76,9 +84,11 @@
         self.retry_after_s = None
         self.service = None
         self.digest = None
-        self.excluded = set()
+        self.relayed = relayed
+        self.may_relay = relayed is None
+        self.excluded = set(relayed.excluded if relayed else ())
         self.sends = []
-        self.attempts = 0
+        self.attempts = relayed.attempts if relayed else 0
         self.connect_failures = 0
         self.may_have_run = False
         self.failure = None
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -11,6 +11,14 @@
 # partitioned from the others keep to their share of each limit.
 SIZE_RETENTION_S = 20.0
 
+# A host of another domain relays requests for this time after a digest that
+# named it.
+RELAY_RETENTION_S = 3.0
+
+# If a smaller share of the own domain reaches the targets, hosts of other
+# domains relay requests as well, so that the few get no excess load.
+MIN_RELAY_SHARE = 0.5
+
 # Largest number of contacts per domain.
 MAX_CONTACTS = 64
 
@@ -29,6 +37,7 @@
     is_full: bool
     waiting: dict[str, dict[int, int]]
     limited_sends: dict[str, int]
+    reaches_targets: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,6 +64,7 @@
         '_largest_size',
         '_largest_at',
         '_peers',
+        '_relays',
         '_running',
         '_started_ms',
     )
@@ -67,6 +77,7 @@
         self._domains = {}
         self._contacts = {}
         self._running = {}
+        self._relays = {}
         self._largest_size = 1
         self._largest_at = 0.0
 
@@ -147,6 +158,37 @@
             for waiting in peer.waiting.get(service, ())
         )
 
+    def list_own_relays(self):
+        """Return the peers of the domain that reach the targets."""
+        return [
+            address
+            for address, peer in self._peers.items()
+            if peer.reaches_targets
+        ]
+
+    def list_relays(self, now):
+        """Return the hosts that may relay requests to targets."""
+        own = self.list_own_relays()
+        if len(own) >= MIN_RELAY_SHARE * len(self.members):
+            return own
+        return own + [
+            address
+            for relays in self._relays.values()
+            for address, named_at in relays.items()
+            if now - named_at < RELAY_RETENTION_S
+        ]
+
+    def _record_relays(self, digest, now):
+        relays = {
+            address: named_at
+            for address, named_at in self._relays.get(
+                digest.domain, {}
+            ).items()
+            if now - named_at < RELAY_RETENTION_S and digest.relays
+        }
+        relays.update(dict.fromkeys(digest.relays, now))
+        self._relays[digest.domain] = relays
+
     def learn_contacts(self, hosts):
         """Add known addresses of hosts, by failure domain."""
         for domain, addresses in hosts.items():
@@ -183,6 +225,7 @@
                 update.is_full,
                 {},
                 update.limited_sends,
+                update.reaches_targets,
             )
             self._peers[update.address] = peer
             self.learn_contacts({self._domain: [update.address]})
@@ -200,6 +243,7 @@
         self._count_running(update.running, 1)
         peer.running = update.running
         peer.waiting = update.waiting
+        peer.reaches_targets = update.reaches_targets
         peer.admitted.update(update.admitted)
         peer.sends.update(update.sends)
         peer.limited_sends.update(update.limited_sends)
@@ -214,6 +258,7 @@
         failures by service.
         """
         self.learn_contacts({digest.domain: digest.hosts})
+        self._record_relays(digest, now)
         known = self._domains.get(digest.domain)
         is_same = (
             known is not None
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -16,7 +16,9 @@
 from . import crash_guard
 from . import health as health_module
 from . import http_client
+from . import path_tests
 from . import refusals
+from . import relay as relay_module
 
 Answered = calls.Answered
 Failed = calls.Failed
@@ -55,6 +57,16 @@
 # Retry-After if only a change of the targets can provide a free slot.
 NO_TARGET_RETRY_S = 0.3
 
+# Failed connects after which another host sends the request.
+RELAYED_CONNECT_FAILURES = 2
+
+# A host that is cut off and finds no other host refuses requests after this
+# time, in which it has tested its paths.
+CONFIRMED_CUT_S = 0.5
+
+# Faults that a broken path causes as well.
+PATH_FAULTS = frozenset((FaultKind.BROKEN, FaultKind.SILENT))
+
 MAX_LOGGED_SENDS = 4
 
 CRASH_DETAIL = 'earlier attempts of this request crashed their targets'
@@ -82,6 +94,8 @@
         self._outcomes = parts.outcomes
         self._pools = parts.pools
         self._paths = parts.paths
+        self._path_tester = parts.path_tester
+        self._relay = parts.relay
         self._target_limits = parts.target_limits
         self._guard = parts.guard
         self._reports = parts.reports
@@ -89,11 +103,14 @@
         self._metrics = parts.metrics
         self._random = random.Random()
 
-    async def handle(self, request):
-        """Return the `CallerResponse` to a request."""
+    async def handle(self, request, relayed=None):
+        """Return the `CallerResponse` to a request.
+
+        `relayed` is the `RelayedRequest` if another host sent it.
+        """
         call = None
         try:
-            call = self._admit(request)
+            call = self._admit(request, relayed)
             response = await self._forward(call)
             outcome = 'answered'
         except _TargetFailure as failure:
@@ -131,7 +148,7 @@
     def _log(self, call, request, outcome, status):
         duration_s = self._clock.now() - request.arrived_at
         self._metrics.record_request(outcome.partition(':')[0], duration_s)
-        if call is not None and call.service is not None:
+        if call is not None and call.relayed is None:
             self._record_outcome(call.service, status < 500)
         request_id = (
             self._header_codec.read_request(request.headers).request_id
@@ -147,6 +164,7 @@
             priority=call and call.priority,
             waited_ms=call and round(call.waited_s * 1000),
             sends=call and call.sends[:MAX_LOGGED_SENDS],
+            relayed_by=call and call.relayed and call.relayed.sender,
             status=status,
             outcome=outcome,
             took_ms=round(duration_s * 1000),
@@ -157,8 +175,11 @@
         configuration = self._directory.configuration
         return configuration and configuration.version
 
-    def _admit(self, request):
-        """Run the admission checks on a request; return its `Call`."""
+    def _admit(self, request, relayed):
+        """Run the admission checks on a request; return its `Call`.
+
+        The sender of a relayed request has counted it and taken its token.
+        """
         configuration = self._directory.configuration
         if configuration is None:
             refuse(
@@ -166,6 +187,12 @@
                 'no configuration received yet',
                 NO_TARGET_RETRY_S,
             )
+        if relayed is not None and configuration.version < relayed.version:
+            refuse(
+                Reason.HOST_OVERLOADED,
+                'the configuration is older than that of the sender',
+                NO_TARGET_RETRY_S,
+            )
         metadata = self._header_codec.read_request(request.headers)
         if metadata.fault is not None:
             refuse(Reason.HEADER_INVALID, metadata.fault)
@@ -179,13 +206,18 @@
             metadata.timeout_s or DEFAULT_TIMEOUT_S,
             route.timeout_s or DEFAULT_TIMEOUT_S,
         )
+        if relayed is not None:
+            timeout_s = min(timeout_s, relayed.remaining_s)
         deadline = request.arrived_at + timeout_s
-        call = calls.Call(request, metadata, route, workspace, deadline)
-        call.service = self._pick_service(route)
+        call = calls.Call(
+            request, metadata, route, workspace, deadline, relayed
+        )
+        call.service = self._pick_service(route, relayed)
         self._refuse_crashing_request(call)
-        self._budgets.record_request(call.service, self._clock.now())
-        if workspace is not None:
-            self._take_token(call, workspace.name)
+        if relayed is None:
+            self._budgets.record_request(call.service, self._clock.now())
+            if workspace is not None:
+                self._take_token(call, workspace.name)
         return call
 
     def _take_token(self, call, workspace):
@@ -226,7 +258,10 @@
             refuse(reason, 'the route requires the API key of a workspace')
         return workspace
 
-    def _pick_service(self, route):
+    def _pick_service(self, route, relayed):
+        services = [part.service for part in route.weighted_services]
+        if relayed is not None and relayed.service in services:
+            return relayed.service
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
         weights = [weighted.weight for weighted in route.weighted_services]
@@ -246,6 +281,11 @@
     async def _forward(self, call):
         """Send the request until a target responds; return the response."""
         while True:
+            if self._must_relay(call):
+                response = await self._relay_call(call)
+                if response is not None:
+                    return response
+                continue
             known = await self._find_target(call)
             now = self._clock.now()
             # It may have been blocked while it waited.
@@ -260,6 +300,60 @@
             if response is not None:
                 return response
 
+    def _must_relay(self, call):
+        return call.may_relay and (
+            self._paths.is_cut
+            or call.connect_failures >= RELAYED_CONNECT_FAILURES
+        )
+
+    async def _relay_call(self, call):
+        """Let another host send the request.
+
+        Returns the response, or None if the request may be sent again.
+        """
+        match await self._relay.send(call, self._get_version()):
+            case relay_module.Relayed() as outcome:
+                if not outcome.may_be_served_elsewhere:
+                    return self._take_relayed_response(call, outcome)
+                self._end_relaying(call, 'no other host reaches the targets')
+            case relay_module.NotRelayed(detail):
+                self._end_relaying(call, detail)
+            case relay_module.RelayFailed(detail):
+                self._metrics.count_relay('failed')
+                call.attempts += 1
+                call.may_have_run = True
+                call.failure = Failed(FaultKind.BROKEN, detail)
+                if (
+                    not call.route.idempotent
+                    or call.attempts >= call.route.max_targets
+                ):
+                    self._give_up(call, Reason.TARGET_BROKEN, detail)
+        return None
+
+    def _take_relayed_response(self, call, outcome):
+        refusal = outcome.refusal
+        self._metrics.count_relay('refused' if refusal else 'answered')
+        if (
+            refusal is not None
+            and refusal.verdict is Verdict.NOT_RUN
+            and call.may_have_run
+        ):
+            self._give_up(call, refusal.reason, 'refused by another host')
+        return outcome.response
+
+    def _end_relaying(self, call, detail):
+        """Let the call use this host's own paths, unless they are cut."""
+        self._metrics.count_relay('not sent')
+        call.may_relay = False
+        cut_s = self._paths.get_cut_duration(self._clock.now())
+        if cut_s >= CONFIRMED_CUT_S:
+            self._give_up(
+                call,
+                Reason.TARGET_UNREACHABLE,
+                f'this host reaches no target: {detail}',
+                path_tests.TEST_INTERVAL_S,
+            )
+
     async def _find_target(self, call):
         """Return the target to send to, after a wait for a slot if needed."""
         if not self._waiting.must_yield(call.service, call.priority):
@@ -482,10 +576,10 @@
             )
         except http_client.ConnectError as error:
             self._record_unreachable(instance, str(error))
-            self._paths.record_failure(instance, str(error), self._clock.now())
+            self._path_tester.record_failure(instance, str(error))
             return Unreachable(str(error))
         if not connection.uses:
-            self._paths.record_success(instance, self._clock.now())
+            self._path_tester.record_success(instance)
         fault = self._recheck_choice(call, known)
         remaining_s = call.deadline - self._clock.now()
         if fault is not None or remaining_s < MIN_REMAINING_S:
@@ -590,7 +684,8 @@
     def _handle_broken_connection(self, call, known, connection, error):
         instance = known.target.instance
         now = self._clock.now()
-        if error.peer_closed:
+        is_crash = error.peer_closed and not self._paths.is_cut
+        if is_crash:
             run = crash_guard.identify_run(known.target)
             self._guard.record(call.digest, run, now)
         eliot.log_message(
@@ -598,7 +693,7 @@
             id=call.request_id,
             digest=call.digest,
             target=instance,
-            counted=error.peer_closed,
+            counted=is_crash,
             reused=connection.is_reused,
             response_started=error.response_started,
             crashes=self._guard.count(call.digest, now),
@@ -660,7 +755,14 @@
         return Answered(response)
 
     def _record_fault(self, instance, kind):
+        """Record a fault of a target and report it to the domain.
+
+        Connections that end while this host is cut off are no fault of the
+        target, which others may reach.
+        """
         now = self._clock.now()
+        if self._paths.is_cut and kind in PATH_FAULTS:
+            return
         is_avoided = self._health.record_fault(instance, kind, now)
         self._reports.add_fault(instance, kind)
         self._metrics.count_fault(kind.value)
--- a/lavenderstile/edge/health.py
+++ b/lavenderstile/edge/health.py
@@ -203,6 +203,12 @@
         health.path_blocked_until = now + block_s
         return block_s
 
+    def clear_path_faults(self):
+        """Stop avoiding the targets that this host could not connect to."""
+        for health in self._targets.values():
+            health.path_faults = 0
+            health.path_blocked_until = 0.0
+
     def record_success(self, instance, service, latency_s, now, is_own=True):
         """Record a successful response of a target and its latency."""
         health = self._targets.get(instance)
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -20,9 +20,11 @@
 from . import mesh as mesh_module
 from . import metrics as metrics_module
 from . import outcomes as outcomes_module
+from . import path_tests
 from . import paths as paths_module
 from . import rate_limits as rate_limits_module
 from . import registry
+from . import relay as relay_module
 from . import target_limits as target_limits_module
 from . import target_pools
 from . import waiting as waiting_module
@@ -59,9 +61,11 @@
         'health',
         'metrics',
         'outcomes',
+        'path_tester',
         'paths',
         'pools',
         'rate_limits',
+        'relay',
         'reports',
         'target_limits',
         'waiting',
@@ -99,6 +103,10 @@
         self.paths = paths_module.Paths()
         self.guard = crash_guard.CrashGuard()
         self.reports = mesh_module.Reports()
+        self.path_tester = path_tests.PathTester(self)
+        self.relay = relay_module.RelayClient(
+            clock, self.fleet, settings.peer_port
+        )
 
 
 class StatusHandler:
@@ -168,6 +176,9 @@
         self._mesh.apply_batch = self._watcher.apply_batch
         handler = handler_module.RequestHandler(self.parts)
         self._callers = callers.CallerServer(self._clock, handler)
+        self._relayed = callers.CallerServer(
+            self._clock, relay_module.RelayHandler(handler)
+        )
         self._version = None
         self._targets = frozenset()
         self._stopping = asyncio.Event()
@@ -223,6 +234,9 @@
         if configuration and configuration.version != self._version:
             self._version = configuration.version
             self._callers.limits = configuration.limits
+            self._relayed.limits = relay_module.make_limits(
+                configuration.limits
+            )
             self.parts.rate_limits.configure(
                 configuration.workspaces.values(), self._clock.now()
             )
@@ -262,11 +276,15 @@
         if self._settings.admin_listen is not None:
             await status.start(*self._settings.admin_listen)
         await self._mesh.start()
+        await self._relayed.start(
+            self._settings.address, self._settings.peer_port
+        )
         await self._callers.start(*self._settings.caller_listen)
         coroutines = (
             self._mesh.run(),
             self._watcher.run(),
             self._log.run(),
+            self.parts.path_tester.run(),
             self._sweep(status),
             self._watch_settings(),
         )
@@ -280,7 +298,9 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._callers.sweep()
+            self._relayed.sweep()
             status.sweep()
+            self.parts.relay.sweep(self._clock.now())
             directory = self.parts.directory
             directory.expire(self._clock.now())
             self.parts.pools.sweep(directory.targets)
@@ -310,6 +330,8 @@
         started = self._clock.now()
         eliot.log_message('stopping', connections=self._callers.open_count)
         self._callers.is_stopping = True
+        self._relayed.is_stopping = True
+        self._mesh.stop_relaying()
         deadline = started + self._settings.stop_s - STOP_MARGIN_S
         listen_until = min(started + BALANCER_LAG_S, deadline)
         while self._clock.now() < listen_until:
@@ -317,7 +339,7 @@
         self._callers.stop_listening()
         while self._clock.now() < deadline:
             self._callers.close_idle(STOP_IDLE_S)
-            if not self._callers.open_count:
+            if not (self._callers.open_count or self._relayed.active_count):
                 break
             await asyncio.sleep(STOP_POLL_S)
         self._mesh.leave()
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -36,6 +36,10 @@
 # have failed undetected.
 DIGEST_RECEIVERS = 2
 
+# Hosts that a digest names as relays. They are drawn anew each time, so that
+# the other domains come to know more of them.
+RELAYS_PER_DIGEST = 4
+
 # Interval of hello messages to seeds and to known hosts that are not peers,
 # before and after the first peer is found, and the maximum number of those
 # hosts.
@@ -100,6 +104,7 @@
         self._budgets = parts.budgets
         self._health = parts.health
         self._guard = parts.guard
+        self._paths = parts.paths
         self._watcher_selection = parts.watcher_selection
         self._directory = parts.directory
         self._outcomes = parts.outcomes
@@ -118,6 +123,7 @@
         self._reported_limited_sends = {}
         self._change_log = change_batches.ChangeLog()
         self._is_leaving = False
+        self._may_relay = True
         self.apply_batch = _ignore
 
     async def start(self):
@@ -410,8 +416,13 @@
             limited_sends,
             self._directory.position.era,
             crash_reports.answers,
+            self._reaches_targets,
         )
 
+    @property
+    def _reaches_targets(self):
+        return self._may_relay and not self._paths.is_cut
+
     def _get_contact_age(self):
         age_s = self._clock.now() - self._watcher_selection.registry_contact_at
         return round(min(age_s, MAX_CONTACT_AGE_S), 3)
@@ -492,6 +503,7 @@
                 ),
                 self._directory.position.era,
                 crash_reports.answers,
+                self._choose_relays(),
             )
         )
         for domain in self._fleet.contacts:
@@ -499,6 +511,12 @@
                 for address in self._choose_digest_receivers(domain, now):
                     self._send(address, data)
 
+    def _choose_relays(self):
+        relays = self._fleet.list_own_relays()
+        if self._reaches_targets:
+            relays.append(self._fleet.address)
+        return random.sample(relays, min(len(relays), RELAYS_PER_DIGEST))
+
     def _choose_digest_receivers(self, domain, now):
         known = self._fleet.domains.get(domain)
         if (
@@ -513,6 +531,11 @@
         """Use the seeds of changed settings."""
         self._settings = settings
 
+    def stop_relaying(self):
+        """Tell the domain that this host relays no more requests."""
+        self._may_relay = False
+        self._send_update()
+
     def leave(self):
         """Announce to the domain that this host is shutting down."""
         self._is_leaving = True
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -76,7 +76,8 @@
     limits that targets stated, and `limited_sends` the requests to targets
     while they were limited. `answers` has the ages in seconds of answers to
     requests that were suspected of crashes, by digest. Unless the update
-    `is_full`, unchanged counts and limits are left out.
+    `is_full`, unchanged counts and limits are left out. A host that
+    `reaches_targets` relays requests for those that do not.
     """
 
     address: str
@@ -97,6 +98,7 @@
     limited_sends: dict[str, int] = {}
     era: int = 0
     answers: dict[str, float] = {}
+    reaches_targets: bool = True
 
     @property
     def position(self):
@@ -111,7 +113,8 @@
     domain's admitted requests by workspace since `started_ms`. `hosts` are
     some of the domain's hosts, `size` is the number of all. `outcomes` has
     the domain's requests and failures by service, `limits` the limits that
-    targets stated, `answers` the ages of answers to suspected requests.
+    targets stated, `answers` the ages of answers to suspected requests,
+    `relays` some hosts of the domain that reach the targets.
     """
 
     origin: str
@@ -126,6 +129,7 @@
     limits: dict[str, LimitReport] = {}
     era: int = 0
     answers: dict[str, float] = {}
+    relays: list[str] = []
 
     @property
     def position(self):
--- a/lavenderstile/edge/metrics.py
+++ b/lavenderstile/edge/metrics.py
@@ -25,6 +25,9 @@
             'edge_retry_budget_empty_total',
             'Second sends that the budget did not allow, by service.',
         )
+        self._relays = self._counter(
+            'edge_relays_total', 'Requests sent to other hosts by outcome.'
+        )
         self._calls = self._counter(
             'edge_registry_calls_total', 'Calls to the registry by result.'
         )
@@ -64,6 +67,10 @@
         """Count a retry that the retry budget denied."""
         self._budget.inc({'service': service})
 
+    def count_relay(self, outcome):
+        """Count a request that another host was asked to send."""
+        self._relays.inc({'outcome': outcome})
+
     def count_registry_call(self, result):
         """Count a call to the registry."""
         self._calls.inc({'result': result})
--- /dev/null
+++ b/lavenderstile/edge/path_tests.py
@@ -0,0 +1,74 @@
+"""Reaction to the loss of the paths to the targets, and tests of them."""
+
+import asyncio
+import random
+
+from . import http_client
+
+# Interval of the new connections that test whether a cut has ended.
+TEST_INTERVAL_S = 0.3
+JITTER = 0.2
+
+
+class PathTester:
+    """Connects to a target now and then while this host is cut off.
+
+    Only one connection at a time is tried, to a random target, so that many
+    hosts that are cut off do not burden one of them when the cut ends.
+    """
+
+    def __init__(self, parts):
+        self._clock = parts.clock
+        self._directory = parts.directory
+        self._health = parts.health
+        self._paths = parts.paths
+        self._pools = parts.pools
+        self._reports = parts.reports
+        self._waiting = parts.waiting
+        self._has_work = asyncio.Event()
+        self._random = random.Random()
+
+    def record_failure(self, instance, detail):
+        """Record that a connection to a target was not established."""
+        if self._paths.record_failure(instance, detail, self._clock.now()):
+            # It is unknown which of the idle connections still work.
+            self._pools.clear()
+            self._has_work.set()
+            self._reports.schedule_update()
+
+    def record_success(self, instance):
+        """Record a new connection to a target."""
+        if self._paths.record_success(instance, self._clock.now()):
+            self._has_work.clear()
+            self._health.clear_path_faults()
+            self._waiting.wake()
+            self._reports.schedule_update()
+
+    async def run(self):
+        """Test the paths while this host is cut off, until cancelled."""
+        while True:
+            await self._has_work.wait()
+            target = self._choose_target()
+            if target is not None:
+                await self._test(target)
+            await asyncio.sleep(
+                TEST_INTERVAL_S * self._random.uniform(1 - JITTER, 1 + JITTER)
+            )
+
+    def _choose_target(self):
+        targets = [
+            known.target
+            for known in self._directory.targets.values()
+            if not known.target.is_draining
+            and known.target.domain not in self._directory.evacuated
+        ]
+        return self._random.choice(targets) if targets else None
+
+    async def _test(self, target):
+        try:
+            connection = await self._pools.connect(target)
+        except http_client.ConnectError as error:
+            self.record_failure(target.instance, str(error))
+            return
+        self._pools.release(target, connection, None)
+        self.record_success(target.instance)
--- a/lavenderstile/edge/refusals.py
+++ b/lavenderstile/edge/refusals.py
@@ -47,4 +47,4 @@
             1 + RETRY_AFTER_JITTER * random.random()
         )
         headers.append((b'retry-after', f'{wait_s:.2f}'.encode()))
-    return callers.CallerResponse(get_status(refusal), headers, body)
+    return callers.CallerResponse(get_status(refusal), headers, body, refusal)
--- a/lavenderstile/edge/target_pools.py
+++ b/lavenderstile/edge/target_pools.py
@@ -60,6 +60,10 @@
             if self._is_usable(connection, needs_fresh):
                 return connection
             connection.close()
+        return await self.connect(target, timeout_s)
+
+    async def connect(self, target, timeout_s=CONNECT_TIMEOUT_S):
+        """Return a new connection; raises `http_client.ConnectError`."""
         self.opened += 1
         return await http_client.open_connection(
             target.address,
@@ -83,6 +87,11 @@
         for connection in self._idle.pop(instance, ()):
             connection.close()
 
+    def clear(self):
+        """Close the idle connections to all targets."""
+        for instance in list(self._idle):
+            self.drop(instance)
+
     def sweep(self, instances):
         """Close stale connections and those to targets not in `instances`."""
         for instance in list(self._idle):
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -88,6 +88,21 @@
     return messages.Update(address=address, started_ms=started_ms, **fields)
 
 
+def make_digest(origin='10.2.0.1', domain='b', **changes):
+    """Return another domain's digest."""
+    fields = {
+        'started_ms': 1,
+        'size': 16,
+        'hosts': [origin],
+        'admitted': {},
+        'outcomes': {},
+        'revision': 1,
+        'crashes': [],
+        **changes,
+    }
+    return messages.Digest(origin=origin, domain=domain, **fields)
+
+
 class BalancerFixture:
     """A balancer with its dependencies and a virtual clock."""
 
--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -3,25 +3,9 @@
 import unittest
 
 from lavenderstile.edge import fleet
-from lavenderstile.edge import messages
 from tests.edge import builders
 
 
-def make_digest(origin='10.2.0.1', domain='b', **changes):
-    """Return another domain's digest."""
-    fields = {
-        'started_ms': 1,
-        'size': 16,
-        'hosts': [origin],
-        'admitted': {},
-        'outcomes': {},
-        'revision': 1,
-        'crashes': [],
-        **changes,
-    }
-    return messages.Digest(origin=origin, domain=domain, **fields)
-
-
 class PeerTest(unittest.TestCase):
     """Guards against load and counts that are added twice or not at all."""
 
@@ -119,19 +103,21 @@
         self.fleet = fleet.Fleet('10.1.0.2', 'a', 1)
 
     def test_repeated_digests_add_nothing(self):
-        digest = make_digest(admitted={'club': 4})
+        digest = builders.make_digest(admitted={'club': 4})
         self.fleet.apply_digest(digest, 0.0)
-        later = make_digest(admitted={'club': 9})
+        later = builders.make_digest(admitted={'club': 9})
         self.assertEqual(self.fleet.apply_digest(later, 0.5)[0], {'club': 5})
         self.assertEqual(self.fleet.apply_digest(later, 0.6)[0], {})
 
     def test_counts_of_another_origin_start_again(self):
-        self.fleet.apply_digest(make_digest(admitted={'club': 4}), 0.0)
-        other = make_digest('10.2.0.7', admitted={'club': 90})
+        self.fleet.apply_digest(
+            builders.make_digest(admitted={'club': 4}), 0.0
+        )
+        other = builders.make_digest('10.2.0.7', admitted={'club': 90})
         self.assertEqual(self.fleet.apply_digest(other, 0.5)[0], {})
 
     def test_the_size_of_the_fleet_outlasts_a_partition(self):
-        self.fleet.apply_digest(make_digest(), 0.0)
+        self.fleet.apply_digest(builders.make_digest(), 0.0)
         self.assertEqual(self.fleet.get_size(0.1), 17)
         self.assertEqual(self.fleet.count_reachable(10.0), 1)
         self.assertEqual(self.fleet.get_size(10.0), 17)
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -9,6 +9,7 @@
 from lavenderstile.edge import fleet
 from lavenderstile.edge import mesh
 from lavenderstile.edge import messages
+from lavenderstile.edge import paths
 from lavenderstile.edge import rate_limits
 from tests.edge import builders
 
@@ -43,6 +44,7 @@
         ),
         health=bench.health,
         guard=crash_guard.CrashGuard(),
+        paths=paths.Paths(),
         watcher_selection=types.SimpleNamespace(
             registry_contact_at=0.0, record_peer_position=lambda _: None
         ),
