Keep blocked targets and idle connections after a false alarm of a cut

A cut counts as confirmed after 0.5 s, in which tests have failed as well. Only then idle connections are closed at its end and blocks are lifted.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -60,10 +60,6 @@
 # Failed connects after which another host sends the request.
 RELAYED_CONNECT_FAILURES = 2
 
-# A host that is cut off and finds no other host refuses requests after this
-# time, in which it has tested its paths.
-CONFIRMED_CUT_S = 0.5
-
 # Faults that a broken path causes as well.
 PATH_FAULTS = frozenset((FaultKind.BROKEN, FaultKind.SILENT))
 
@@ -345,8 +341,7 @@
         """Let the call use this host's own paths, unless they are cut."""
         self._metrics.count_relay('not sent')
         call.may_relay = False
-        cut_s = self._paths.get_cut_duration(self._clock.now())
-        if cut_s >= CONFIRMED_CUT_S:
+        if self._paths.is_confirmed(self._clock.now()):
             self._give_up(
                 call,
                 Reason.TARGET_UNREACHABLE,
--- a/lavenderstile/edge/path_tests.py
+++ b/lavenderstile/edge/path_tests.py
@@ -31,16 +31,18 @@
     def record_failure(self, instance, detail):
         """Record that a connection to a target was not established."""
         if self._paths.record_failure(instance, detail, self._clock.now()):
-            # It is unknown which of the idle connections still work.
-            self._pools.clear()
             self._has_work.set()
             self._reports.schedule_update()
 
     def record_success(self, instance):
         """Record a new connection to a target."""
+        was_cut = self._paths.is_cut
         if self._paths.record_success(instance, self._clock.now()):
-            self._has_work.clear()
+            # It is unknown which of the older connections still work.
+            self._pools.clear()
             self._health.clear_path_faults()
+        if was_cut:
+            self._has_work.clear()
             self._waiting.wake()
             self._reports.schedule_update()
 
@@ -70,5 +72,5 @@
         except http_client.ConnectError as error:
             self.record_failure(target.instance, str(error))
             return
-        self._pools.release(target, connection, None)
         self.record_success(target.instance)
+        self._pools.release(target, connection, None)
--- a/lavenderstile/edge/paths.py
+++ b/lavenderstile/edge/paths.py
@@ -9,6 +9,10 @@
 # Failures that are older do not count.
 EVIDENCE_S = 10.0
 
+# A cut that has lasted for this time is confirmed: tests of the paths have
+# failed as well. A shorter one may be two targets that have crashed.
+CONFIRMED_S = 0.5
+
 MAX_LOGGED_TARGETS = 4
 
 
@@ -31,6 +35,10 @@
         """Whether this host probably reaches no target."""
         return self._cut_since is not None
 
+    def is_confirmed(self, now):
+        """Return whether tests have confirmed that this host is cut off."""
+        return self.is_cut and self.get_cut_duration(now) >= CONFIRMED_S
+
     def get_cut_duration(self, now):
         """Return for how many seconds this host has been cut off."""
         return 0.0 if self._cut_since is None else now - self._cut_since
@@ -61,10 +69,10 @@
     def record_success(self, instance, now):
         """Record a new connection to a target.
 
-        Returns whether the host was cut off until now.
+        Returns whether a confirmed cut has ended.
         """
-        was_cut = self.is_cut
-        if was_cut:
+        was_confirmed = self.is_confirmed(now)
+        if self.is_cut:
             eliot.log_message(
                 'targets_regained',
                 target=instance,
@@ -74,4 +82,4 @@
         self._failed_at.clear()
         self._failures = 0
         self._cut_since = None
-        return was_cut
+        return was_confirmed
--- a/tests/edge/test_paths.py
+++ b/tests/edge/test_paths.py
@@ -34,10 +34,18 @@
     def test_one_success_ends_a_cut(self):
         self.fail('i-1', 1.0)
         self.fail('i-2', 1.0)
+        self.assertTrue(self.paths.is_confirmed(4.0))
         self.assertTrue(self.paths.record_success('i-1', 4.0))
         self.assertFalse(self.paths.is_cut)
         self.assertEqual(self.paths.get_cut_duration(5.0), 0.0)
 
+    def test_a_success_at_once_shows_that_there_was_no_cut(self):
+        self.fail('i-1', 1.0)
+        self.fail('i-2', 1.0)
+        self.assertFalse(self.paths.is_confirmed(1.1))
+        self.assertFalse(self.paths.record_success('i-3', 1.1))
+        self.assertFalse(self.paths.is_cut)
+
     def test_old_failures_do_not_count(self):
         """Guards against a host with few requests that meets one crash."""
         self.fail('i-1', 1.0)
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -12,6 +12,7 @@
 from lavenderstile.edge import fleet
 from lavenderstile.edge import handler
 from lavenderstile.edge import host
+from lavenderstile.edge import paths
 from lavenderstile.edge import relay
 from lavenderstile.platform import headers
 from lavenderstile.platform import objects
@@ -226,7 +227,7 @@
         self.apply_events(
             objects.decode_target('down', msgspec.json.encode(down))
         )
-        await asyncio.sleep(handler.CONFIRMED_CUT_S)
+        await asyncio.sleep(paths.CONFIRMED_S)
         started = self.clock.now()
         status, response_headers, body = await self.request('/pay/1', b'x')
         self.assertLess(self.clock.now() - started, 0.1)
@@ -251,9 +252,30 @@
         self.cut.health.add(target.instance, False, now)
         self.cut.health.record_path_fault(target.instance, now)
         self.assertTrue(self.cut.health.is_avoided(target.instance, now))
+        await asyncio.sleep(paths.CONFIRMED_S)
         self.cut.path_tester.record_success(target.instance)
         self.assertFalse(self.cut.health.is_avoided(target.instance, now))
 
+    async def test_two_crashed_targets_stay_avoided_after_a_false_alarm(self):
+        """Guards against requests that try crashed targets again and again.
+
+        The host took the crashes for a cut until its first test succeeded.
+        """
+        target = await self.add_target()
+        now = self.clock.now()
+        self.cut.health.add('x-1', False, now)
+        self.cut.health.record_path_fault('x-1', now)
+        self.cut.path_tester.record_success(target.instance)
+        self.assertFalse(self.cut.paths.is_cut)
+        self.assertTrue(self.cut.health.is_avoided('x-1', now))
+
+    async def test_a_connection_between_two_failures_rules_a_cut_out(self):
+        tester = self.parts.path_tester
+        tester.record_failure('x-1', 'refused')
+        tester.record_success('x-2')
+        tester.record_failure('x-3', 'refused')
+        self.assertFalse(self.parts.paths.is_cut)
+
     async def test_a_test_connection_ends_the_cut(self):
         await self.add_target()
         task = asyncio.create_task(self.cut.path_tester.run())
