Don't take a refusal without an id on a kept connection for the response

It can happen here with status 400 and X-...-Not-Executed: a response without a request id was accepted for 400 and 421, because a target that can't read the id, or has taken over the address, doesn't send one. The unsafe request was sent to a second target while the first ran it. With 421 the connection isn't kept and with 429 and 503 the id is required, so that these were skipped already.

Now such a response counts only on a connection that carries its first request; on a kept one it is skipped, and the response that follows is used.

The new test failed for status 400 before.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -616,7 +616,7 @@
                     request,
                     call.request.body,
                     lambda response: self._is_matching_response(
-                        call, response
+                        call, connection, response
                     ),
                 )
         except TimeoutError:
@@ -661,12 +661,20 @@
             headers=headers,
         )
 
-    def _is_matching_response(self, call, response):
+    def _is_matching_response(self, call, connection, response):
+        """Return whether a response belongs to the request.
+
+        A target that can't read the id, or is another one, responds without
+        it. On a connection that was used before, such a response may be an
+        earlier one that is sent once more.
+        """
         metadata = self._header_codec.read_response(
             response.status, response.headers
         )
         return metadata.request_id == call.request_id or (
-            metadata.request_id is None and response.status in (400, 421)
+            metadata.request_id is None
+            and response.status in (400, 421)
+            and not connection.is_reused
         )
 
     def _record_slow_response(self, call, known, waited_s):
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -15,6 +15,31 @@
 from tests.edge import edge_case
 
 
+def make_partial_response(data):
+    """Return a behaviour that sends some bytes and closes."""
+
+    async def respond(target, request, writer):
+        writer.write(data)
+        writer.close()
+
+    return respond
+
+
+def make_stale_refusal(status):
+    """Return a behaviour that refuses without an id, and runs the request."""
+
+    async def respond(target, request, writer):
+        writer.write(
+            f'HTTP/1.1 {status} X\r\ncontent-length: 0\r\n'
+            'x-lavenderstile-not-executed: 1\r\n\r\n'.encode()
+        )
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        await standin.answer(target, request, writer)
+
+    return respond
+
+
 class ResponseTest(edge_case.EdgeCase):
     """Guards against responses that do not belong to the request."""
 
@@ -70,6 +95,48 @@
         self.assertEqual(status, 502)
         self.assertNotIn(b'xxx', body)
 
+    async def test_a_response_that_ends_within_its_head_is_refused(self):
+        """Guards against a partial head that passes for a whole response.
+
+        The target stops at each byte of the head and closes or resets the
+        connection, which is new or was used before.
+        """
+        head = standin.render('try-1').partition(b'done')[0]
+        for size in range(0, len(head), 3):
+            for is_reused in (False, True):
+                with self.subTest(size=size, is_reused=is_reused):
+                    target = await self.add_target()
+                    if is_reused:
+                        await self.request('/pay/1', b'x')
+                    target.behave = make_partial_response(head[:size])
+                    status, _, _ = await self.request('/pay/1', b'x')
+                    self.assertEqual(status, 502)
+                    self.remove_all_targets()
+
+    async def test_a_refusal_without_an_id_on_a_kept_connection_is_not_used(
+        self,
+    ):
+        """Guards against an earlier refusal that is sent once more.
+
+        The target runs the request, but the caller was told that it had not
+        run, or it ran at a second target.
+        """
+        for status in (400, 421, 429, 503):
+            with self.subTest(status=status):
+                target = await self.add_target()
+                self.prefer(target)
+                await self.request('/pay/1', b'x')
+                other = await self.add_target()
+                self.parts.balancer.record_use(
+                    [other.instance], self.clock.now()
+                )
+                target.behave = make_stale_refusal(status)
+                status, _, body = await self.request('/pay/2', b'x')
+                self.assertNotIn(b'not-run', body)
+                self.assertIn(status, (200, 502))
+                self.assertEqual(other.seen, [])
+                self.remove_all_targets()
+
     async def test_an_unsigned_success_is_refused(self):
         await self.add_target(standin.answer_unsigned)
         status, _, _ = await self.request('/pay/1', b'x')
