Refuse requests that come too late in a planned stop

From 3 s before the end of the stop, but not before the listener closes, requests are refused with 503, a true not-run and a Retry-After; a waiting one is refused when its usual run would not end in time; relayed ones are refused from SIGTERM on.

The new test failed before (504, one target had the request).

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 
 import eliot
@@ -65,6 +66,7 @@
 
 MAX_LOGGED_SENDS = 4
 
+STOP_DETAIL = 'the host is stopping'
 CRASH_DETAIL = 'earlier attempts of this request crashed their targets'
 
 
@@ -98,6 +100,16 @@
         self._waiting = parts.waiting
         self._metrics = parts.metrics
         self._random = random.Random()
+        self._refuse_from = math.inf
+        self._stop_deadline = math.inf
+
+    def begin_stop(self, refuse_from, deadline):
+        """Refuse requests from a time on, so that all end by a deadline.
+
+        Relayed requests are refused at once; their hosts have others to ask.
+        """
+        self._refuse_from = refuse_from
+        self._stop_deadline = deadline
 
     async def handle(self, request, relayed=None):
         """Return the `CallerResponse` to a request.
@@ -176,6 +188,11 @@
 
         The sender of a relayed request has counted it and taken its token.
         """
+        is_stopping = self._stop_deadline < math.inf
+        if self._clock.now() >= self._refuse_from or (
+            is_stopping and relayed is not None
+        ):
+            refuse(Reason.HOST_OVERLOADED, STOP_DETAIL, NO_TARGET_RETRY_S)
         configuration = self._directory.configuration
         if configuration is None:
             refuse(
@@ -402,11 +419,13 @@
         remaining_s = call.deadline - now
         if remaining_s < MIN_REMAINING_S:
             self._give_up(call, Reason.DEADLINE_EXCEEDED, 'deadline reached')
+        work_s = self._health.get_mean_latency(call.service)
+        if now + work_s > self._stop_deadline:
+            self._give_up(call, Reason.HOST_OVERLOADED, STOP_DETAIL)
         match self._choose(call, now):
             case balancing.Chosen(known, _):
                 return known
             case balancing.Full(wait_s):
-                work_s = self._health.get_mean_latency(call.service)
                 is_hopeless = wait_s + work_s > remaining_s
             case balancing.NoTarget():
                 wait_s = NO_TARGET_RETRY_S
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -38,6 +38,10 @@
 # too little on a busy host.
 STOP_MARGIN_S = 0.8
 
+# Time before the end of a shutdown from which on requests are refused, if the
+# load balancer sends no more callers then. Most requests take less.
+LATE_REQUEST_S = 3.0
+
 SWEEP_INTERVAL_S = 0.5
 SETTINGS_INTERVAL_S = 2.0
 STOP_POLL_S = 0.05
@@ -174,10 +178,10 @@
             lambda: self.parts.reports.schedule_update(),
         )
         self._mesh.apply_batch = self._watcher.apply_batch
-        handler = handler_module.RequestHandler(self.parts)
-        self._callers = callers.CallerServer(self._clock, handler)
+        self._handler = handler_module.RequestHandler(self.parts)
+        self._callers = callers.CallerServer(self._clock, self._handler)
         self._relayed = callers.CallerServer(
-            self._clock, relay_module.RelayHandler(handler)
+            self._clock, relay_module.RelayHandler(self._handler)
         )
         self._version = None
         self._targets = frozenset()
@@ -334,6 +338,9 @@
         self._mesh.stop_relaying()
         deadline = started + self._settings.stop_s - STOP_MARGIN_S
         listen_until = min(started + BALANCER_LAG_S, deadline)
+        self._handler.begin_stop(
+            max(listen_until, deadline - LATE_REQUEST_S), deadline
+        )
         while self._clock.now() < listen_until:
             await asyncio.sleep(STOP_POLL_S)
         self._callers.stop_listening()
--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -47,6 +47,9 @@
 class FleetTest(FleetCase):
     """Guards the whole path of a request: caller, host, store and target."""
 
+    # Later than this after SIGTERM, of 6 s, a request is late.
+    LATE_S = 3.6
+
     async def call(self, host, path='/read/1', **changes):
         """Send a request through a host."""
         return await self.client.get(
@@ -120,6 +123,45 @@
             self.assertGreater(len(statuses), 10)
             self.assertEqual(set(statuses), {200})
 
+    async def test_a_late_request_in_a_stop_is_refused(self):
+        """Guards against requests that the end of a stop cuts.
+
+        A request whose body is complete late in the grace period was sent to
+        a target; its caller got no answer when the process ended.
+        """
+        host = self.fleet.hosts[0]
+
+        async def answer_slowly(target, request, writer):
+            await asyncio.sleep(2.0)
+            await registered_target.answer(target, request, writer)
+
+        for target in self.fleet.targets.values():
+            target.behave = answer_slowly
+        reader, writer = await asyncio.open_connection(
+            host.address, edge_fleet.CALLER_PORT
+        )
+        head = [
+            'POST /pay/late HTTP/1.1',
+            'Content-Length: 2',
+            'X-Lavenderstile-Deadline-Ms: 8000',
+            'X-Lavenderstile-Attempt-Id: late',
+            'Authorization: Token key-1',
+            'Host: races.example',
+        ]
+        writer.write('\r\n'.join(head).encode() + b'\r\n\r\nx')
+        await asyncio.sleep(0.3)
+        stop = asyncio.create_task(host.process.stop())
+        await asyncio.sleep(self.LATE_S)
+        writer.write(b'y')
+        async with asyncio.timeout(LIMIT_S):
+            response = await reader.read()
+        writer.close()
+        await stop
+        seen = [target.seen for target in self.fleet.targets.values()]
+        self.assertIn(b' 503 ', response.partition(b'\r\n')[0], seen)
+        self.assertIn(b'not-run', response)
+        self.assertEqual([requests for requests in seen if requests], [])
+
     async def test_a_killed_host_serves_again(self):
         host = self.fleet.hosts[0]
         await host.process.kill()
