Test the paths when a connection breaks during a request

Now a connection that breaks without a response leads to two test connections, at most every 0.3 s.

One of two new tests failed before (the host never counted itself as cut off), the other guards against a false alarm.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -720,6 +720,8 @@
             response_started=error.response_started,
             crashes=self._guard.count(call.digest, now),
         )
+        if not error.response_started:
+            self._path_tester.suspect()
         self._pools.drop(instance)
         self._record_fault(instance, FaultKind.BROKEN)
         return Failed(FaultKind.BROKEN, f'{instance}: {error}')
--- a/lavenderstile/edge/path_tests.py
+++ b/lavenderstile/edge/path_tests.py
@@ -4,6 +4,7 @@
 import random
 
 from . import http_client
+from . import paths
 
 # Interval of the new connections that test whether a cut has ended.
 TEST_INTERVAL_S = 0.3
@@ -42,29 +43,39 @@
             self._pools.clear()
             self._health.clear_path_faults()
         if was_cut:
-            self._has_work.clear()
             self._waiting.wake()
             self._reports.schedule_update()
 
+    def suspect(self):
+        """Test the paths soon, after a connection broke during a request.
+
+        When a cut begins, each kept connection would otherwise cost a request
+        before a new one shows the cut.
+        """
+        self._has_work.set()
+
     async def run(self):
-        """Test the paths while this host is cut off, until cancelled."""
+        """Test the paths while there is reason to, until cancelled."""
         while True:
             await self._has_work.wait()
-            target = self._choose_target()
-            if target is not None:
-                await self._test(target)
+            count = 1 if self._paths.is_cut else paths.CUT_TARGETS
+            await asyncio.gather(
+                *(self._test(target) for target in self._choose(count))
+            )
+            if not self._paths.is_cut:
+                self._has_work.clear()
             await asyncio.sleep(
                 TEST_INTERVAL_S * self._random.uniform(1 - JITTER, 1 + JITTER)
             )
 
-    def _choose_target(self):
+    def _choose(self, count):
         targets = [
             known.target
             for known in self._directory.targets.values()
             if not known.target.is_draining
             and known.target.domain not in self._directory.evacuated
         ]
-        return self._random.choice(targets) if targets else None
+        return self._random.sample(targets, min(count, len(targets)))
 
     async def _test(self, target):
         try:
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -283,6 +283,53 @@
         await self.wait_until(lambda: not self.cut.paths.is_cut)
 
 
+class SuspicionTest(edge_case.EdgeCase):
+    """Guards against a cut that costs one request for each kept connection.
+
+    Requests on kept connections get no response, one after the other, while
+    no new connection shows the cut.
+    """
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        task = asyncio.create_task(self.parts.path_tester.run())
+        self.addCleanup(task.cancel)
+
+    def register(self, instance, address):
+        """Register a target again, at another address."""
+        entry = registry_store.describe_target(address, 9)
+        self.apply_events(
+            objects.decode_target(instance, msgspec.json.encode(entry))
+        )
+
+    async def break_kept_connection(self):
+        """Send a request on a kept connection that breaks."""
+        target = await self.add_target()
+        await self.request('/pay/1', b'x')
+        target.behave = standin.reset
+        return target
+
+    async def test_a_broken_connection_leads_to_tests(self):
+        target = await self.break_kept_connection()
+        self.register(target.instance, '127.0.0.1:1')
+        self.register('i-9', '127.0.0.1:2')
+        status, _, _ = await self.request('/pay/1', b'x')
+        self.assertEqual(status, 502)
+        await self.wait_until(lambda: self.parts.paths.is_cut)
+
+    async def test_a_target_that_closed_a_connection_is_no_cut(self):
+        target = await self.break_kept_connection()
+        self.prefer(target)
+        other = await self.add_target()
+        self.parts.balancer.record_use([other.instance], self.clock.now())
+        opened = self.parts.pools.opened
+        status, _, _ = await self.request('/pay/1', b'x')
+        self.assertEqual(status, 502)
+        await self.wait_until(lambda: self.parts.pools.opened > opened)
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.parts.paths.is_cut)
+
+
 class RelayChoiceTest(edge_case.unittest.TestCase):
     """Guards against a few hosts that relay for a whole domain."""
 
