--- a/lavenderstile/edge/refusals.py
+++ b/lavenderstile/edge/refusals.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .. import errors
 from .. import verdicts
 from . import callers
 
@@ -25,6 +26,13 @@
 RETRY_AFTER_JITTER = 0.5
 
 
+def refuse(reason, detail, retry_after_s=None, verdict=Verdict.NOT_RUN):
+    """Raise a `RefusedError` for a request."""
+    raise errors.RefusedError(
+        verdicts.Refusal(reason, detail, verdict, retry_after_s)
+    )
+
+
 def get_status(refusal):
     """Return the HTTP status of a refusal."""
     if refusal.verdict is Verdict.NOT_RUN:
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -161,14 +161,12 @@
     async def test_a_peer_with_an_older_configuration_is_not_used(self):
         """Guards against a route or key that is in force and then is not."""
         target = await self.add_target()
-        newer = types.SimpleNamespace(
-            configuration=edge_case.decode_configuration(
-                registry_store.describe_configuration(9)
-            ),
-            targets={},
-            evacuated=frozenset(),
+        newer = registry_store.describe_configuration(9)
+        events = ((99, edge_case.decode_configuration(newer)),)
+        self.cut.directory.apply_changes(
+            directory.Changes(99, events), self.clock.now()
         )
-        self.cut_handler._directory = newer
+        await asyncio.sleep(paths.CONFIRMED_S)
         status, _, body = await self.request('/pay/1', b'x')
         self.assertEqual((status, target.seen), (503, []))
         self.assertIn(b'not-run', body)
@@ -241,7 +239,7 @@
 
     async def test_broken_connections_are_not_reported_as_faults(self):
         target = await self.add_target()
-        self.cut_handler._record_fault(
+        self.cut_handler._sender._record_fault(
             target.instance, handler.FaultKind.BROKEN
         )
         self.assertEqual(self.cut.reports.take(), ([], {}))
