Don't exclude targets that only a cut host fails to reach

Found on reading the relay: a request that is relayed after failed connects named these targets as tried, so that the other host, which may reach them, left them out; with one or two targets of a service it refused the request. Only targets that may have got the request are passed on. A host whose only target, or the last one of a service, refuses a connection relays too.

The new test failed before (503, no target had the request). path_tests.py is now path_tester.py, which doesn't read like a file of tests. tests.edge, edge_fleet and docs: 326 passed.

--- a/lavenderstile/edge/calls.py
+++ b/lavenderstile/edge/calls.py
@@ -43,7 +43,8 @@
     """A request that is forwarded, with its attempts so far.
 
     `relayed` is the `RelayedRequest` if another host sent it, which may have
-    made some of the attempts.
+    made some of the attempts. `excluded` has the instances that were tried,
+    `unreachable` those of them to which this host could not connect.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         'route',
         'sends',
         'service',
+        'unreachable',
         'wait_deadline',
         'waited_s',
         'workspace',
@@ -87,6 +89,7 @@
         self.relayed = relayed
         self.may_relay = relayed is None
         self.excluded = set(relayed.excluded if relayed else ())
+        self.unreachable = set()
         self.sends = []
         self.attempts = relayed.attempts if relayed else 0
         self.connect_failures = 0
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -15,7 +15,7 @@
 from . import calls
 from . import crash_guard
 from . import health as health_module
-from . import path_tests
+from . import path_tester
 from . import refusals
 from . import relay as relay_module
 from . import target_sender
@@ -293,9 +293,19 @@
                 return response
 
     def _must_relay(self, call):
-        return call.may_relay and (
+        """Return whether another host has to send the request."""
+        if not call.may_relay:
+            return False
+        return (
             self._paths.is_cut
             or call.connect_failures >= RELAYED_CONNECT_FAILURES
+            or (call.connect_failures > 0 and self._are_all_tried(call))
+        )
+
+    def _are_all_tried(self, call):
+        return all(
+            known.target.instance in call.excluded
+            for known in self._directory.list_targets(call.service)
         )
 
     async def _relay_call(self, call):
@@ -342,7 +352,7 @@
                 call,
                 Reason.TARGET_UNREACHABLE,
                 f'this host reaches no target: {detail}',
-                path_tests.TEST_INTERVAL_S,
+                path_tester.TEST_INTERVAL_S,
             )
 
     async def _find_target(self, call):
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -20,7 +20,7 @@
 from . import mesh as mesh_module
 from . import metrics as metrics_module
 from . import outcomes as outcomes_module
-from . import path_tests
+from . import path_tester
 from . import paths as paths_module
 from . import rate_limits as rate_limits_module
 from . import registry
@@ -107,7 +107,7 @@
         self.paths = paths_module.Paths()
         self.guard = crash_guard.CrashGuard()
         self.reports = mesh_module.Reports()
-        self.path_tester = path_tests.PathTester(self)
+        self.path_tester = path_tester.PathTester(self)
         self.relay = relay_module.RelayClient(
             clock, self.fleet, settings.peer_port
         )
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -374,9 +374,7 @@
             self._update_timer.cancel()
         self._update_timer = loop.call_at(due_at, self._send_update, False)
 
-    def _make_update(
-        self, reports=((), {}), new_crash_reports=None, is_full=True
-    ):
+    def _make_update(self, reports=((), {}), crash_reports=None, is_full=True):
         faults, successes = reports
         admitted = self._rate_limits.admitted
         sends = self._budgets.own
@@ -384,9 +382,9 @@
             target_limits.Source.RESPONSE, self._clock.now()
         )
         limited_sends = self._target_limits.sends
-        crash_reports = self._guard.get_reports(self._clock.now())
+        if crash_reports is None:
+            crash_reports = self._guard.get_reports(self._clock.now())
         if not is_full:
-            crash_reports = new_crash_reports
             admitted = _find_changed(admitted, self._reported_admitted)
             sends = _find_changed(sends, self._reported_sends)
             limits = {
@@ -464,10 +462,11 @@
             self._update_timer.cancel()
             self._update_timer = None
         self._sent_at = self._clock.now()
+        crash_reports = self._guard.take_new_reports(self._sent_at)
+        if is_full:
+            crash_reports = self._guard.get_reports(self._sent_at)
         update = self._make_update(
-            self._reports.take(),
-            self._guard.take_new_reports(self._sent_at),
-            is_full,
+            self._reports.take(), crash_reports, is_full
         )
         self._reported_admitted.update(update.admitted)
         self._reported_sends.update(update.sends)
--- a/lavenderstile/edge/path_tests.py
+++ b/lavenderstile/edge/path_tester.py
@@ -31,7 +31,9 @@
 
     def record_failure(self, instance, detail):
         """Record that a connection to a target was not established."""
-        if self._paths.record_failure(instance, detail, self._clock.now()):
+        count = len(self._directory.targets)
+        now = self._clock.now()
+        if self._paths.record_failure(instance, detail, count, now):
             self._has_work.set()
             self._reports.schedule_update()
 
--- a/lavenderstile/edge/paths.py
+++ b/lavenderstile/edge/paths.py
@@ -2,8 +2,9 @@
 
 import eliot
 
-# Targets that have to refuse or time out new connections, with no success in
-# between, before the host counts as cut off from the targets.
+# Targets, or all if there are fewer, that have to refuse or time out new
+# connections, with no success in between, before the host counts as cut off
+# from the targets.
 CUT_TARGETS = 2
 
 # Failures that are older do not count.
@@ -43,8 +44,8 @@
         """Return for how many seconds this host has been cut off."""
         return 0.0 if self._cut_since is None else now - self._cut_since
 
-    def record_failure(self, instance, detail, now):
-        """Record that a connection to a target was not established.
+    def record_failure(self, instance, detail, targets, now):
+        """Record that a connection to one of `targets` was not established.
 
         Returns whether the host counts as cut off from now on.
         """
@@ -55,7 +56,8 @@
         }
         self._failed_at[instance] = now
         self._failures += 1
-        if self.is_cut or len(self._failed_at) < CUT_TARGETS:
+        needed = max(1, min(CUT_TARGETS, targets))
+        if self.is_cut or len(self._failed_at) < needed:
             return False
         self._cut_since = now
         eliot.log_message(
--- a/lavenderstile/edge/relay.py
+++ b/lavenderstile/edge/relay.py
@@ -42,7 +42,7 @@
     """What the sender of a relayed request has decided and tried.
 
     `version` is its configuration. `attempts` counts the targets that may
-    have got the request, `excluded` names those that were tried.
+    have got the request, `excluded` names those that got it.
     """
 
     sender: str
@@ -190,7 +190,7 @@
             call.service,
             round(remaining_s, 4),
             call.attempts,
-            sorted(call.excluded),
+            sorted(call.excluded - call.unreachable),
         )
         headers = [
             pair
--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -94,6 +94,7 @@
         except http_client.ConnectError as error:
             self._record_unreachable(instance, str(error))
             self._path_tester.record_failure(instance, str(error))
+            call.unreachable.add(instance)
             return Unreachable(str(error))
         if not connection.uses:
             self._path_tester.record_success(instance)
--- a/tests/edge/test_paths.py
+++ b/tests/edge/test_paths.py
@@ -12,13 +12,16 @@
         self.paths = paths.Paths()
 
     def fail(self, instance, now):
-        return self.paths.record_failure(instance, 'refused', now)
+        return self.paths.record_failure(instance, 'refused', 6, now)
 
     def test_one_target_is_no_evidence(self):
         for now in range(5):
             self.assertFalse(self.fail('i-1', float(now)))
         self.assertFalse(self.paths.is_cut)
 
+    def test_the_only_target_is(self):
+        self.assertTrue(self.paths.record_failure('i-1', 'refused', 1, 1.0))
+
     def test_two_targets_without_a_success_between_them_are(self):
         self.fail('i-1', 1.0)
         self.assertTrue(self.fail('i-2', 2.0))
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -97,6 +97,22 @@
         left_ms = int(seen['x-lavenderstile-deadline-ms'])
         self.assertTrue(3000 < left_ms <= 4000, left_ms)
 
+    async def test_targets_that_only_this_host_does_not_reach_are_used(self):
+        """Guards against refusals by a host that could reach the target.
+
+        The host that is cut off has tried all targets of the service.
+        """
+        self.cut.path_tester.record_success('x-1')
+        target = await self.add_target()
+        down = registry_store.describe_target('127.0.0.1:1', 9)
+        event = objects.decode_target(
+            target.instance, msgspec.json.encode(down)
+        )
+        changes = directory.Changes(99, ((99, event),))
+        self.cut.directory.apply_changes(changes, self.clock.now())
+        status, _, _ = await self.request('/pay/1', b'x')
+        self.assertEqual((status, len(target.seen)), (200, 1))
+
     async def test_a_body_is_forwarded_unchanged(self):
         target = await self.add_target()
         body = bytes(range(256)) * 1000
@@ -268,6 +284,8 @@
         self.assertTrue(self.cut.health.is_avoided('x-1', now))
 
     async def test_a_connection_between_two_failures_rules_a_cut_out(self):
+        for _ in range(2):
+            await self.add_target()
         tester = self.parts.path_tester
         tester.record_failure('x-1', 'refused')
         tester.record_success('x-2')
