--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -1,7 +1,7 @@
 """Tests of requests that are relayed through another host."""
 
 import asyncio
-import types
+import random
 
 import msgspec
 
@@ -200,9 +200,9 @@
     async def test_the_targets_of_both_hosts_count_for_the_route(self):
         """Guards against more targets than a route allows."""
         targets = [await self.add_target(standin.fail) for _ in range(4)]
-        call = types.SimpleNamespace(attempts=1)
+        own_sends = 1
         relayed = relay.RelayedRequest(
-            '127.0.0.2', 1, registry_store.SERVICE, 3.0, 1, []
+            '127.0.0.2', 1, registry_store.SERVICE, 3.0, own_sends, []
         )
         async with self.connect_to_relay() as caller:
             await caller.request(
@@ -214,7 +214,7 @@
                     )
                 ],
             )
-        sends = call.attempts + sum(len(target.seen) for target in targets)
+        sends = own_sends + sum(len(target.seen) for target in targets)
         self.assertEqual(sends, 2)
 
     def connect_to_relay(self):
@@ -394,3 +394,19 @@
         self.hear_digest(0.0, '10.2.0.1')
         self.hear_digest(0.5)
         self.assertEqual(self.fleet.list_relays(0.5), [])
+
+    def test_digests_name_enough_hosts_for_a_domain_that_is_cut_off(self):
+        """Load pattern: all hosts of a domain relay to two other domains.
+
+        Guards against a few hosts that get all of its requests.
+        """
+        self.hear(0, 12)
+        rng = random.Random(1)
+        for number in range(6):
+            for domain in ('b', 'c'):
+                hosts = [f'{domain}-{host}' for host in range(13)]
+                digest = builders.make_digest(
+                    f'{domain}-0', domain, relays=rng.sample(hosts, 4)
+                )
+                self.fleet.apply_digest(digest, number * 0.5)
+        self.assertGreaterEqual(len(self.fleet.list_relays(2.5)), 18)
