--- a/lavenderstile/edge/crash_guard.py
+++ b/lavenderstile/edge/crash_guard.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import random
 
 import xxhash
 
@@ -199,7 +200,8 @@
     def get_reports(self, now):
         """Return the reports of the own domain to repeat.
 
-        These are the recent ones, and the crashes of all blocked requests.
+        These are the recent ones, and the crashes of blocked requests; if
+        there are too many of these for a message, another part each time.
         """
         reports = _make_reports(
             [seen for seen in self._repeated if seen.repeat_until > now], now
@@ -210,12 +212,15 @@
             for digest in self._blocked
             if self.count(digest, now) >= BLOCKING_CRASHES
         }
-        reports.crashes.extend(
-            _make_crash(digest, run, seen_at, now)
-            for digest in self._blocked
-            for run, seen_at in self._records[digest].crashes.items()
-            if (digest, run) not in known
-        )
+        for digest in random.sample(sorted(self._blocked), len(self._blocked)):
+            crashes = [
+                _make_crash(digest, run, seen_at, now)
+                for run, seen_at in self._records[digest].crashes.items()
+                if (digest, run) not in known
+            ]
+            if len(reports.crashes) + len(crashes) > MAX_REPEATED:
+                break
+            reports.crashes.extend(crashes)
         return reports
 
 
--- a/tests/edge/test_crash_guard.py
+++ b/tests/edge/test_crash_guard.py
@@ -120,3 +120,15 @@
         for number in range(crash_guard.MAX_DIGESTS + 10):
             self.guard.record(f'd-{number}', 'i-1', 1.0)
         self.assertTrue(self.guard.is_blocked(self.digest, 2.0))
+
+    def test_reports_of_many_blocked_requests_fit_a_datagram(self):
+        """Guards against digests that are too large to be sent at all."""
+        for number in range(300):
+            for run in range(5):
+                self.guard.record(f'{number:016}', f'i-{run}', 1.0)
+        reported = set()
+        for _ in range(100):
+            crashes = self.guard.get_reports(10.0).crashes
+            self.assertLessEqual(len(crashes), crash_guard.MAX_REPEATED)
+            reported |= {crash.digest for crash in crashes}
+        self.assertEqual(len(reported), 300)
