Log a relayed refusal as one, and explain relays and crashes from logs

A request that another host refused was logged and counted as answered by the host of the caller. The explanation of a request left out what the new lines say: crash_suspected and relay_unreachable of the request, targets_lost and targets_regained of its host.

Logs and the tool only; no decision changes.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -49,6 +49,7 @@
 
 MAX_LOGGED_SENDS = 4
 
+RELAY_REFUSAL_DETAIL = 'refused by another host'
 STOP_DETAIL = 'the host is stopping'
 CRASH_DETAIL = 'earlier attempts of this request crashed their targets'
 
@@ -95,13 +96,13 @@
         try:
             call = self._admit(request, relayed)
             response = await self._forward(call)
-            outcome = 'answered'
+            outcome = _describe_outcome(response)
         except _TargetFailure as failure:
             response = self._make_caller_response(failure.response)
             outcome = 'failure of the target'
         except errors.RefusedError as error:
             response = refusals.make_response(error.refusal)
-            outcome = f'{error.refusal.reason.value}: {error.refusal.detail}'
+            outcome = _describe_outcome(response)
         except asyncio.CancelledError:
             self._log(call, request, 'caller left', 0)
             raise
@@ -340,7 +341,11 @@
             and refusal.verdict is Verdict.NOT_RUN
             and call.may_have_run
         ):
-            self._give_up(call, refusal.reason, 'refused by another host')
+            self._give_up(call, refusal.reason, RELAY_REFUSAL_DETAIL)
+        if refusal is not None:
+            outcome.response.refusal = verdicts.Refusal(
+                refusal.reason, RELAY_REFUSAL_DETAIL, refusal.verdict
+            )
         return outcome.response
 
     def _end_relaying(self, call, detail):
@@ -544,6 +549,13 @@
         return choice.known if self._may_send_again(call, now) else None
 
 
+def _describe_outcome(response):
+    refusal = response.refusal
+    if refusal is None:
+        return 'answered'
+    return f'{refusal.reason.value}: {refusal.detail}'
+
+
 class _TargetFailure(Exception):
     """Carries a target's error response when no retry is possible."""
 
--- a/lavenderstile/edge/log_search.py
+++ b/lavenderstile/edge/log_search.py
@@ -11,12 +11,16 @@
 MAX_RELATED = 10
 
 _TARGET_EVENTS = frozenset(('target_avoided', 'target_unreachable'))
-_REQUEST_EVENTS = frozenset(('rate_refused',))
+_REQUEST_EVENTS = frozenset(
+    ('rate_refused', 'crash_suspected', 'relay_unreachable')
+)
 _HOST_EVENTS = frozenset(
     (
         'registry_lost',
         'registry_regained',
         'stopping',
+        'targets_lost',
+        'targets_regained',
         'configuration_in_force',
     )
 )
@@ -33,7 +37,7 @@
     'key_unknown': 'no workspace of the configuration has its key',
     'key_missing': 'it has no key but its route requires one',
     'route_unknown': 'no route of the configuration matches its host and path',
-    'host_overloaded': 'the host had no configuration or no free buffer',
+    'host_overloaded': 'the host could not serve it at this time',
     'header_invalid': 'its headers are invalid',
     'failure of the target': 'the target responded with an error status',
     'caller left': 'its caller closed the connection before the response',
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import eliot
 import msgspec
 
 from emulator import registered_target as standin
@@ -132,6 +133,22 @@
         self.assertIn('retry-after', response_headers)
         self.assertNotIn(relay.REFUSAL_HEADER.decode(), response_headers)
 
+    async def test_a_refusal_is_logged_as_one(self):
+        """Guards against refused requests that the logs call answered."""
+        logged = []
+        eliot.add_destinations(logged.append)
+        self.addCleanup(eliot.remove_destination, logged.append)
+        logged.clear()
+        await self.request('/pay/1', b'x')
+        outcomes = [
+            message['outcome']
+            for message in logged
+            if message['message_type'] == 'request'
+        ]
+        self.assertEqual(len(outcomes), 2)
+        for outcome in outcomes:
+            self.assertTrue(outcome.startswith('no_capacity'), outcomes)
+
     async def test_a_token_is_taken_once(self):
         """Guards against workspaces that get half of their rate."""
         data = registry_store.describe_configuration(2)
--- a/tests/test_cli_logs.py
+++ b/tests/test_cli_logs.py
@@ -69,6 +69,29 @@
         levels = [message.get('level') for message in value[0]['related']]
         self.assertEqual(levels, [0.2])
 
+    def test_a_relay_and_a_lost_path_are_shown(self):
+        fields = {'host': 'front-1', 'id': 'abc'}
+        log = make_line(message_type='targets_lost', host='front-1')
+        log += make_line(message_type='targets_lost', host='front-2')
+        log += make_line(message_type='relay_unreachable', **fields)
+        log += make_line(message_type='crash_suspected', **fields)
+        log += make_line(
+            message_type='request',
+            status=503,
+            took_ms=1,
+            sends=['10.1.0.2@relay +0ms 503'],
+            outcome='no_capacity: refused by another host',
+            **fields,
+        )
+        code, value = self.run_json('explain', 'log', 'abc', stdin=log)
+        self.assertEqual(code, 0)
+        self.assertIn('refused by another host', value[0]['sentence'])
+        types = [message['message_type'] for message in value[0]['related']]
+        self.assertEqual(
+            sorted(types),
+            ['crash_suspected', 'relay_unreachable', 'targets_lost'],
+        )
+
     def test_files_are_read(self):
         path = self.write('hosts.log', LOG)
         code, value = self.run_json('explain', 'log', 'abc', path)
