Answer the caller when a relayed refusal can't be read

A refusal with a reason that this build doesn't know, as from a host of another build, ended the task of the request with an exception, and the caller waited until its own time-out. It is logged, and the caller gets 502 with an open verdict.

The new test failed before (time-out of the test). test_relay: 29 passed.

--- a/lavenderstile/edge/relay.py
+++ b/lavenderstile/edge/relay.py
@@ -181,7 +181,17 @@
             return RelayFailed(f'{host.address}: {error}')
         self._pools.release(host, connection, None)
         call.sends[-1] += f' {response.status}'
-        return _make_relayed(response)
+        try:
+            return _make_relayed(response)
+        except msgspec.MsgspecError as error:
+            eliot.log_message(
+                'relay_unreadable',
+                id=call.request_id,
+                relay=host.address,
+                status=response.status,
+                detail=str(error),
+            )
+            return RelayFailed(f'{host.address}: refusal is unreadable')
 
     def _make_request(self, call, version, remaining_s):
         relayed = RelayedRequest(
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -185,6 +185,24 @@
         self.assertEqual((status, other.seen), (502, []))
         self.assertIn(b'may-have-run', body)
 
+    async def test_an_unreadable_refusal_leaves_the_verdict_open(self):
+        """Guards against callers that get no answer from hosts of two builds.
+
+        The other host gives a reason that this one doesn't know.
+        """
+        target = await self.add_target()
+
+        async def handle(request):
+            header = b'{"verdict": "not-run", "reason": "of another build"}'
+            return callers.CallerResponse(
+                503, [(relay.REFUSAL_HEADER, header)]
+            )
+
+        self.relay_server._handler.handle = handle
+        status, _, body = await self.request('/pay/1', b'x')
+        self.assertEqual((status, target.seen), (502, []))
+        self.assertIn(b'may-have-run', body)
+
     async def test_a_peer_that_broke_the_request_leaves_the_verdict_open(self):
         await self.add_target(standin.reset)
         status, _, body = await self.request('/pay/1', b'x')
