Count crashes until a cut of the host's paths is confirmed

Two crashed targets that refuse connections look like a cut of the host's own paths for a moment, until the first test succeeds. Connections that targets ended in that moment didn't count as crashes of the request that caused them.

--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -211,7 +211,7 @@
     def _handle_broken_connection(self, call, known, connection, error):
         instance = known.target.instance
         now = self._clock.now()
-        is_crash = error.peer_closed and not self._paths.is_cut
+        is_crash = error.peer_closed and not self._paths.is_confirmed(now)
         if is_crash:
             run = crash_guard.identify_run(known.target)
             self._guard.record(call.digest, run, now)
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import eliot
 import msgspec
@@ -13,6 +14,7 @@
 from lavenderstile.edge import fleet
 from lavenderstile.edge import handler
 from lavenderstile.edge import host
+from lavenderstile.edge import http_client
 from lavenderstile.edge import paths
 from lavenderstile.edge import relay
 from lavenderstile.platform import headers
@@ -295,6 +297,24 @@
         )
         self.assertEqual(self.cut.reports.take(), ([], {}))
 
+    async def test_crashes_count_until_the_cut_is_confirmed(self):
+        """Guards against crashed targets that are taken for a cut.
+
+        Their crashes must count against the request that caused them.
+        """
+        target = await self.add_target()
+        known = self.cut.directory.targets[target.instance]
+        call = types.SimpleNamespace(digest='ff', request_id='r1')
+        error = http_client.ConnectionBroken('reset', False, True)
+        connection = types.SimpleNamespace(is_reused=True)
+        sender = self.cut_handler._sender
+        sender._handle_broken_connection(call, known, connection, error)
+        self.assertEqual(self.cut.guard.count('ff', self.clock.now()), 1)
+        await asyncio.sleep(paths.CONFIRMED_S)
+        call.digest = 'ee'
+        sender._handle_broken_connection(call, known, connection, error)
+        self.assertEqual(self.cut.guard.count('ee', self.clock.now()), 0)
+
     async def test_targets_are_not_avoided_after_the_cut(self):
         target = await self.add_target()
         now = self.clock.now()
--- a/tests/test_edge_fleet.py
+++ b/tests/test_edge_fleet.py
@@ -270,6 +270,9 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.crashes = []
+        # Time for which a crashed target refuses connections.
+        self.away_s = 0.0
+        self.restarts = []
         for instance, target in self.fleet.targets.items():
             target.behave = self._make_behaviour(instance)
 
@@ -279,11 +282,21 @@
                 await registered_target.answer(target, request, writer)
                 return
             self.crashes.append(time.monotonic())
-            # All connections of the target are reset, and it is back at once.
-            self.fleet.proxies[instance].reset()
+            proxy = self.fleet.proxies[instance]
+            if self.away_s:
+                proxy.refuse()
+                self.restarts.append(
+                    asyncio.create_task(self.restart_later(proxy))
+                )
+            proxy.reset()
 
         return behave
 
+    async def restart_later(self, proxy):
+        """Let a crashed target accept connections after a time."""
+        await asyncio.sleep(self.away_s)
+        await proxy.accept_again()
+
     async def call(self, host, path):
         """Send a request through a host; return its status."""
         response = await self.client.get(
@@ -304,6 +317,15 @@
             await asyncio.sleep(self.INTERVAL_S)
 
     async def test_the_fleet_stops_sending_it(self):
+        await self.check_sends()
+
+    async def test_the_fleet_stops_while_crashed_targets_are_away(self):
+        """Guards against crashes that hosts take for a cut of their paths."""
+        self.away_s = 2.0
+        await self.check_sends()
+
+    async def check_sends(self):
+        """Send the request to all hosts in turn; check the targets' counts."""
         usual = asyncio.create_task(self.keep_connections_open())
         await asyncio.sleep(2.0)
         statuses = []
@@ -314,6 +336,7 @@
             if time.monotonic() > end:
                 break
         usual.cancel()
+        await asyncio.gather(*self.restarts)
         self.assertGreaterEqual(len(self.crashes), 3, statuses)
         learnt_at = self.crashes[2] + self.LEARNING_S
         late = [at for at in self.crashes if at > learnt_at]
