--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the review's scripts share."""
--- /dev/null
+++ b/review/common/clients.py
@@ -0,0 +1,121 @@
+"""Requesters: they send requests to hosts and record the answers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+
+from . import servers
+from . import store
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """A request and its answer; `status` None means a closed connection.
+
+    While the request waits, `answered_at` is None.
+    """
+
+    request_id: str
+    kind: str
+    machine: str
+    sent_at: float
+    answered_at: float | None = None
+    status: int | None = None
+    headers: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+
+
+class Connection:
+    """A kept connection of a requester to a host."""
+
+    def __init__(self, host):
+        self._host = host
+        self._reader = None
+        self._writer = None
+
+    async def open(self):
+        """Connect unless connected."""
+        if self._writer is None:
+            self._reader, self._writer = await asyncio.open_connection(
+                *self._host
+            )
+
+    async def exchange(self, data):
+        """Send a request; return status, headers and body."""
+        await self.open()
+        self._writer.write(data)
+        first, headers, body = await servers.read_message(self._reader)
+        if headers.get('connection', '').lower() == 'close':
+            self.close()
+        return int(first.split(' ')[1]), headers, body
+
+    def close(self):
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+            self._writer = None
+
+
+class Requesters:
+    """All requesters of a run."""
+
+    def __init__(self, record):
+        self.sent = []
+        self._record = record
+        self._numbers = itertools.count(1)
+
+    def _render(self, request_id, kind, deadline_s, body):
+        method = 'GET' if kind == 'read' else 'POST'
+        lines = [
+            f'{method} /{kind}/{request_id} HTTP/1.1',
+            f'Host: {store.HOST_NAME}',
+            f'X-Lavenderstile-Attempt-Id: {request_id}',
+            f'X-Lavenderstile-Deadline-Ms: {deadline_s * 1000:.0f}',
+            f'Authorization: Token {store.KEY}',
+        ]
+        if method == 'POST':
+            lines.append(f'Content-Length: {len(body)}')
+        return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+    async def send(self, host, kind, deadline_s, connection=None, body=b'x'):
+        """Send a request on a kept or a new connection; return its `Sent`."""
+        request_id = f'r-{next(self._numbers):05d}'
+        sent = Sent(request_id, kind, host[0], self._record.now())
+        self.sent.append(sent)
+        self._record.add(f'client sends {request_id} {kind} to {host[0]}')
+        own = connection is None
+        connection = connection or Connection(host)
+        data = self._render(
+            request_id, kind, deadline_s, b'' if kind == 'read' else body
+        )
+        outcome = 'closed'
+        try:
+            async with asyncio.timeout(deadline_s):
+                answer = await connection.exchange(data)
+            sent.status, sent.headers, sent.body = answer
+            outcome = str(sent.status)
+        except TimeoutError:
+            outcome = 'no answer within the time limit'
+            connection.close()
+        except (asyncio.IncompleteReadError, OSError) as error:
+            outcome = f'closed: {type(error).__name__}'
+            connection.close()
+        finally:
+            if own:
+                connection.close()
+        sent.answered_at = self._record.now()
+        self._record.add(f'client gets {request_id} {outcome}')
+        return sent
+
+
+@contextlib.asynccontextmanager
+async def run_tasks():
+    """Yield a list for tasks; cancel them at the end."""
+    tasks = []
+    try:
+        yield tasks
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
