--- a/review/common/store.py
+++ b/review/common/store.py
@@ -22,6 +22,11 @@
         self._history = []
         self._revision = 1
         self._changed = asyncio.Event()
+        self._answered = asyncio.Event()
+
+    async def wait_for_answer(self):
+        """Return when the store has answered a call."""
+        await self._answered.wait()
 
     def put(self, key, value):
         """Write a value: bytes, or an object to encode as JSON."""
@@ -103,6 +108,8 @@
                     f'content-length: {len(data)}\r\n\r\n'.encode()
                     + data
                 )
+                self._answered.set()
+                self._answered = asyncio.Event()
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
