--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -62,7 +62,7 @@
 
     def __init__(self, record):
         self.sent = []
-        self._record = record
+        self.record = record
         self._numbers = itertools.count(1)
 
     def _render(self, request_id, kind, deadline_s, body):
@@ -81,9 +81,9 @@
     async def send(self, host, kind, deadline_s, connection=None, body=b'x'):
         """Send a request on a kept or a new connection; return its `Sent`."""
         request_id = f'r-{next(self._numbers):05d}'
-        sent = Sent(request_id, kind, host[0], self._record.now())
+        sent = Sent(request_id, kind, host[0], self.record.now())
         self.sent.append(sent)
-        self._record.add(f'client sends {request_id} {kind} to {host[0]}')
+        self.record.add(f'client sends {request_id} {kind} to {host[0]}')
         own = connection is None
         connection = connection or Connection(host)
         data = self._render(
@@ -104,8 +104,8 @@
         finally:
             if own:
                 connection.close()
-        sent.answered_at = self._record.now()
-        self._record.add(f'client gets {request_id} {outcome}')
+        sent.answered_at = self.record.now()
+        self.record.add(f'client gets {request_id} {outcome}')
         return sent
 
 
