--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,6 +11,7 @@
 from review.common import cases
 from review.common import clients
 from review.common import hosts as hosts_module
+from review.common import kept
 from review.common import servers
 from review.common import store as store_module
 
@@ -18,9 +19,7 @@
 SERVERS = 6
 WORK_S = 0.4
 CONNECTIONS_PER_HOST = 8
-THINK_S = 0.1
 TRAFFIC_S = 20.0
-DEADLINE_S = 6.0
 ENTRY_AT_S = 5.0
 ENTRY_KEY = 'servers/agent-7'
 
@@ -28,41 +27,6 @@
 # 1 MB that a value may have.
 UNREADABLE = b'{"x":' + b'[' * 30_000
 
-# A process that has ended is started again after this time.
-RESTART_DELAY_S = 0.5
-
-# The rule LOST: closed connections of a machine that break it.
-MAX_CLOSED = 3
-# The rule Fault: ends of a process, and machines, that break it.
-MAX_ENDS = 3
-MIN_MACHINES = 2
-
-
-async def use_connection(requesters, host):
-    """Send orders one after the other on a kept connection."""
-    connection = clients.Connection(host.front)
-    try:
-        while True:
-            sent = await requesters.send(
-                host.front, 'order', DEADLINE_S, connection
-            )
-            await asyncio.sleep(THINK_S if sent.status else 0.5)
-    finally:
-        connection.close()
-
-
-async def supervise(host, record, ends):
-    """Start the process of a host again after it has ended, as the platform.
-
-    `ends` counts how often processes have ended by themselves.
-    """
-    while True:
-        status = await host.process.wait()
-        ends[host.name] += 1
-        record.add(f'{host.name} has ended by itself with status {status}')
-        await asyncio.sleep(RESTART_DELAY_S)
-        await host.start()
-
 
 async def run(record, has_trouble):
     """Play the case; return whether the rules were kept."""
@@ -92,44 +56,14 @@
         requesters = clients.Requesters(record)
         started = record.now()
         async with clients.run_tasks() as tasks:
-            for host in hosts:
-                tasks.append(
-                    asyncio.create_task(supervise(host, record, ends))
-                )
-                for _ in range(CONNECTIONS_PER_HOST):
-                    tasks.append(
-                        asyncio.create_task(use_connection(requesters, host))
-                    )
+            kept.start(tasks, hosts, requesters, CONNECTIONS_PER_HOST, ends)
             await asyncio.sleep(ENTRY_AT_S)
             if has_trouble:
                 store.put(ENTRY_KEY, UNREADABLE)
                 record.add(f'another writer puts {ENTRY_KEY}')
             await asyncio.sleep(started + TRAFFIC_S - record.now())
-        errors = hosts[0].list_errors()
-    for error in errors[-1:]:
-        record.add(f'the process of a host has written: {error}')
-    return judge(requesters.sent, fleet, ends, record)
-
-
-def judge(sent, fleet, ends, record):
-    """Apply the rules to what the requesters and the servers saw."""
-    ran = {arrival.request_id for one in fleet for arrival in one.arrivals}
-    closed = collections.Counter(
-        one.machine
-        for one in sent
-        if one.answered_at is not None
-        and one.status is None
-        and one.request_id in ran
-    )
-    served = sum(one.status == 200 for one in sent)
-    record.add(
-        f'{len(sent)} requests, {served} served; connections closed without'
-        f' an answer after a sound server had got the request, by machine:'
-        f' {dict(closed)}; processes that ended by themselves: {dict(ends)}'
-    )
-    is_lost = any(count > MAX_CLOSED for count in closed.values())
-    failing = [name for name, count in ends.items() if count >= MAX_ENDS]
-    return not is_lost and len(failing) < MIN_MACHINES
+        kept.record_errors(hosts, record)
+    return kept.judge(requesters.sent, fleet, ends, record)
 
 
 if __name__ == '__main__':
