--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -11,9 +11,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Sent:
-    """A request and its answer; `status` None means a closed connection.
+    """A request and its answer; `status` is None if there was no answer.
 
-    While the request waits, `answered_at` is None.
+    `is_closed` is set if the connection ended instead. While the request
+    waits, `answered_at` is None.
     """
 
     request_id: str
@@ -22,6 +23,7 @@
     sent_at: float
     answered_at: float | None = None
     status: int | None = None
+    is_closed: bool = False
     headers: dict = dataclasses.field(default_factory=dict)
     body: bytes = b''
 
@@ -99,6 +101,7 @@
             outcome = 'no answer within the time limit'
             connection.close()
         except (asyncio.IncompleteReadError, OSError) as error:
+            sent.is_closed = True
             outcome = f'closed: {type(error).__name__}'
             connection.close()
         finally:
--- a/review/common/kept.py
+++ b/review/common/kept.py
@@ -72,11 +72,7 @@
         arrival.request_id for one in sound_servers for arrival in one.arrivals
     }
     closed = collections.Counter(
-        one.machine
-        for one in sent
-        if one.answered_at is not None
-        and one.status is None
-        and one.request_id in ran
+        one.machine for one in sent if one.is_closed and one.request_id in ran
     )
     served = sum(one.status == 200 for one in sent)
     record.add(
