--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -43,10 +43,19 @@
                 *self._host
             )
 
-    async def exchange(self, data):
-        """Send a request; return status, headers and body."""
+    async def exchange(self, data, bytes_per_s=None):
+        """Send a request; return status, headers and body.
+
+        `bytes_per_s` limits the rate at which it is sent.
+        """
         await self.open()
-        self._writer.write(data)
+        piece_bytes = servers.PIECE_BYTES if bytes_per_s else len(data)
+        for offset in range(0, len(data), piece_bytes):
+            piece = data[offset : offset + piece_bytes]
+            self._writer.write(piece)
+            if bytes_per_s:
+                await self._writer.drain()
+                await asyncio.sleep(len(piece) / bytes_per_s)
         first, headers, body = await servers.read_message(self._reader)
         if headers.get('connection', '').lower() == 'close':
             self.close()
@@ -80,8 +89,19 @@
             lines.append(f'Content-Length: {len(body)}')
         return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
-    async def send(self, host, kind, deadline_s, connection=None, body=b'x'):
-        """Send a request on a kept or a new connection; return its `Sent`."""
+    async def send(
+        self,
+        host,
+        kind,
+        deadline_s,
+        connection=None,
+        body=b'x',
+        bytes_per_s=None,
+    ):
+        """Send a request on a kept or a new connection; return its `Sent`.
+
+        `bytes_per_s` limits the rate at which it is sent.
+        """
         request_id = f'r-{next(self._numbers):05d}'
         sent = Sent(request_id, kind, host[0], self.record.now())
         self.sent.append(sent)
@@ -94,7 +114,7 @@
         outcome = 'closed'
         try:
             async with asyncio.timeout(deadline_s):
-                answer = await connection.exchange(data)
+                answer = await connection.exchange(data, bytes_per_s)
             sent.status, sent.headers, sent.body = answer
             outcome = str(sent.status)
         except TimeoutError:
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -28,8 +28,15 @@
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
-async def read_message(reader):
-    """Return (first line, headers, body); headers are in lower case."""
+# Size of the pieces of a body that is sent or read at a limited rate.
+PIECE_BYTES = 64 * 1024
+
+
+async def read_message(reader, bytes_per_s=None):
+    """Return (first line, headers, body); headers are in lower case.
+
+    `bytes_per_s` limits the rate at which the body is read.
+    """
     head = await reader.readuntil(b'\r\n\r\n')
     first, *lines = head.decode('latin-1').split('\r\n')
     headers = {}
@@ -37,20 +44,29 @@
         name, colon, value = line.partition(':')
         if colon:
             headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get('content-length', 0)))
-    return first, headers, body
+    size = int(headers.get('content-length', 0))
+    if bytes_per_s is None:
+        return first, headers, await reader.readexactly(size)
+    parts = []
+    while size:
+        parts.append(await reader.readexactly(min(size, PIECE_BYTES)))
+        size -= len(parts[-1])
+        await asyncio.sleep(len(parts[-1]) / bytes_per_s)
+    return first, headers, b''.join(parts)
 
 
 class Server:
     """A server that works `work_s` on each request and then answers.
 
     It adds `extra_headers` to its answers and ends a run when its connection
-    closes. `arrivals` has what it got.
+    closes. It reads bodies at `bytes_per_s`, if that is set. `arrivals` has
+    what it got.
     """
 
     def __init__(self, instance, record, work_s=0.25):
         self.instance = instance
         self.work_s = work_s
+        self.bytes_per_s = None
         self.extra_headers = []
         self.arrivals = []
         self.address = None
@@ -78,7 +94,7 @@
         arrival.ended = True
 
     async def _handle(self, reader, writer):
-        first, headers, body = await read_message(reader)
+        first, headers, body = await read_message(reader, self.bytes_per_s)
         request_id = headers.get('x-lavenderstile-attempt-id', '')
         expected = headers.get('x-lavenderstile-expected-instance')
         if expected not in (None, self.instance):
