--- a/review/common/hosts.py
+++ b/review/common/hosts.py
@@ -116,7 +116,8 @@
         self._process = None
         self._log = directory / f'{self.name}.log'
         self._settings = directory / f'{self.name}.settings'
-        fields = {
+        self._template = (ROOT / role['template']).read_text()
+        self._fields = {
             'nodeName': self.name,
             'ip': self.address,
             'zone': zone,
@@ -129,10 +130,8 @@
             'internalPorts': [7560, 7575],
             'seeds': [f'{net}.{seed}:8381' for seed in (1, 2, 3)],
             'bounds': _read_bounds(),
-            'platform': {'address': registry},
         }
-        template = (ROOT / role['template']).read_text()
-        self._settings.write_text(render_template(template, fields))
+        self.write_settings(registry)
 
     @property
     def process(self):
@@ -157,6 +156,15 @@
             if 'Error: ' in line and not line.startswith('{')
         ]
 
+    def write_settings(self, registry):
+        """Write the settings file, with the address of the store."""
+        fields = {**self._fields, 'platform': {'address': registry}}
+        text = render_template(self._template, fields)
+        # A host may read the file at any moment.
+        new = self._settings.with_suffix('.new')
+        new.write_text(text)
+        new.replace(self._settings)
+
     async def start(self):
         """Start the program of the role."""
         names = ('PATH', 'HOME', 'LANG')
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -23,6 +23,7 @@
         self._revision = 1
         self._changed = asyncio.Event()
         self._answered = asyncio.Event()
+        self._writers = set()
 
     async def wait_for_answer(self):
         """Return when the store has answered a call."""
@@ -92,7 +93,15 @@
                 return 200, await self._watch(query)
         return 404, {}
 
+    def drop_connections(self, address):
+        """Reset the connections to one of the store's addresses."""
+        for writer in list(self._writers):
+            host, port = writer.get_extra_info('sockname')[:2]
+            if f'{host}:{port}' == address:
+                writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -113,6 +122,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     @contextlib.asynccontextmanager
