--- a/review/common/hosts.py
+++ b/review/common/hosts.py
@@ -45,7 +45,6 @@
 )
 
 STABLE_S = 3.0
-DRAIN_S = 2.0
 
 
 class CaseError(Exception):
@@ -111,13 +110,11 @@
         self.name = f'front-{zone}-{number}'
         self.front = (self.address, 8388)
         self.readiness = (self.address, 8384)
-        self.starts = 0
         self._role = role
         self._process = None
         self._log = directory / f'{self.name}.log'
         self._settings = directory / f'{self.name}.settings'
-        self._template = (ROOT / role['template']).read_text()
-        self._fields = {
+        fields = {
             'nodeName': self.name,
             'ip': self.address,
             'zone': zone,
@@ -130,8 +127,10 @@
             'internalPorts': [7560, 7575],
             'seeds': [f'{net}.{seed}:8381' for seed in (1, 2, 3)],
             'bounds': _read_bounds(),
+            'platform': {'address': registry},
         }
-        self.write_settings(registry)
+        template = (ROOT / role['template']).read_text()
+        self._settings.write_text(render_template(template, fields))
 
     @property
     def process(self):
@@ -156,15 +155,6 @@
             if 'Error: ' in line and not line.startswith('{')
         ]
 
-    def write_settings(self, registry):
-        """Write the settings file, with the address of the store."""
-        fields = {**self._fields, 'platform': {'address': registry}}
-        text = render_template(self._template, fields)
-        # A host may read the file at any moment.
-        new = self._settings.with_suffix('.new')
-        new.write_text(text)
-        new.replace(self._settings)
-
     async def start(self):
         """Start the program of the role."""
         names = ('PATH', 'HOME', 'LANG')
@@ -173,7 +163,6 @@
         }
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         environment['LAVENDERSTILE_NODE_FILE'] = str(self._settings)
-        self.starts += 1
         with self._log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
                 *self._role['run'].split(),
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -16,14 +16,13 @@
     ended: bool = False
 
 
-def render(request_id, status=200, body=b'ok', headers=()):
+def render(request_id, status=200, body=b'ok'):
     """Return the bytes of a server's signed answer."""
     lines = [
         f'HTTP/1.1 {status} X',
         f'Content-Length: {len(body)}',
         f'X-Lavenderstile-Attempt-Id: {request_id}',
         'X-Lavenderstile-Server-Signature: s.1',
-        *headers,
     ]
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
@@ -58,21 +57,18 @@
 class Server:
     """A server that works `work_s` on each request and then answers.
 
-    It adds `extra_headers` to its answers and ends a run when its connection
-    closes. It reads bodies at `bytes_per_s`, if that is set. `arrivals` has
-    what it got.
+    It ends a run when its connection closes. It reads bodies at `bytes_per_s`,
+    if that is set. `arrivals` has what it got.
     """
 
     def __init__(self, instance, record, work_s=0.25):
         self.instance = instance
         self.work_s = work_s
         self.bytes_per_s = None
-        self.extra_headers = []
         self.arrivals = []
         self.address = None
         self._record = record
         self._server = None
-        self._writers = set()
 
     async def respond(self, reader, writer, arrival, body):
         """Work on a request and answer it."""
@@ -87,9 +83,7 @@
         closed.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await closed
-        writer.write(
-            render(arrival.request_id, headers=list(self.extra_headers))
-        )
+        writer.write(render(arrival.request_id))
         await writer.drain()
         arrival.ended = True
 
@@ -112,7 +106,6 @@
             self._record.add(f'{self.instance} {outcome} {request_id}')
 
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
         try:
             while True:
                 await self._handle(reader, writer)
@@ -121,7 +114,6 @@
         except asyncio.CancelledError:
             return
         finally:
-            self._writers.discard(writer)
             writer.close()
 
     async def start(self, address):
@@ -129,14 +121,3 @@
         self._server = await asyncio.start_server(self._serve, address, 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'{address}:{port}'
-
-    def crash(self):
-        """Reset all connections and refuse new ones."""
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def restart(self):
-        """Listen again at the same address."""
-        host, _, port = self.address.rpartition(':')
-        self._server = await asyncio.start_server(self._serve, host, int(port))
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -11,23 +11,13 @@
 
 
 class Store:
-    """Items under one revision counter, with their history.
-
-    While `is_silent`, calls get no response.
-    """
+    """Items under one revision counter, with their history."""
 
     def __init__(self):
-        self.is_silent = False
         self._items = {}
         self._history = []
         self._revision = 1
         self._changed = asyncio.Event()
-        self._answered = asyncio.Event()
-        self._writers = set()
-
-    async def wait_for_answer(self):
-        """Return when the store has answered a call."""
-        await self._answered.wait()
 
     def put(self, key, value):
         """Write a value: bytes, or an object to encode as JSON."""
@@ -93,23 +83,12 @@
                 return 200, await self._watch(query)
         return 404, {}
 
-    def drop_connections(self, address):
-        """Reset the connections to one of the store's addresses."""
-        for writer in list(self._writers):
-            host, port = writer.get_extra_info('sockname')[:2]
-            if f'{host}:{port}' == address:
-                writer.transport.abort()
-
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 target = head.split(b' ', 2)[1].decode()
                 status, body = await self._answer(target)
-                if self.is_silent:
-                    await reader.read()
-                    return
                 data = json.dumps(body).encode()
                 writer.write(
                     f'HTTP/1.1 {status} X\r\nstore-era: 1\r\n'
@@ -117,12 +96,9 @@
                     f'content-length: {len(data)}\r\n\r\n'.encode()
                     + data
                 )
-                self._answered.set()
-                self._answered = asyncio.Event()
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
-            self._writers.discard(writer)
             writer.close()
 
     @contextlib.asynccontextmanager
