--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,11 +29,13 @@
     net = hosts_module.find_net()
     store = store_module.Store()
     rules = [store_module.describe_route('order', 'unsafe', 'orders')]
-    store.put('op/config', store_module.describe_config(1, rules, ['orders']))
+    # Without tenants, requests need no key.
+    configuration = store_module.describe_config(1, rules, ['orders'])
+    store.put('op/config', {**configuration, 'tenants': []})
     fleet = await fleet_module.start_servers(
         net, record, store, {'orders': (SERVERS, WORK_S)}
     )
-    requesters = clients.Requesters(record)
+    requesters = clients.Requesters(record, key=None)
     ends = collections.Counter()
     async with contextlib.AsyncExitStack() as stack:
         behind = await stack.enter_async_context(store.serve(f'{net}.16'))
--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -69,11 +69,12 @@
 
 
 class Requesters:
-    """All requesters of a run."""
+    """All requesters of a run; their requests bear `key`, if there is one."""
 
-    def __init__(self, record):
+    def __init__(self, record, key=store.KEY):
         self.sent = []
         self.record = record
+        self._key = key
         self._numbers = itertools.count(1)
 
     def _render(self, request_id, kind, deadline_s, body):
@@ -83,8 +84,9 @@
             f'Host: {store.HOST_NAME}',
             f'X-Lavenderstile-Attempt-Id: {request_id}',
             f'X-Lavenderstile-Deadline-Ms: {deadline_s * 1000:.0f}',
-            f'Authorization: Token {store.KEY}',
         ]
+        if self._key is not None:
+            lines.append(f'Authorization: Token {self._key}')
         if method == 'POST':
             lines.append(f'Content-Length: {len(body)}')
         return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
--- a/review/common/kept.py
+++ b/review/common/kept.py
@@ -4,6 +4,7 @@
 import collections
 
 from . import clients
+from . import hosts as hosts_module
 
 DEADLINE_S = 6.0
 THINK_S = 0.1
@@ -75,6 +76,8 @@
         one.machine for one in sent if one.is_closed and one.request_id in ran
     )
     served = sum(one.status == 200 for one in sent)
+    if not served:
+        raise hosts_module.CaseError('no request was served')
     record.add(
         f'{len(sent)} requests, {served} served; connections closed without'
         f' an answer after a sound server had got the request, by machine:'
