--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -70,6 +70,10 @@
         self._record = record
         self._server = None
 
+    def render_response(self, request_id):
+        """Return the bytes of the answer to a request that has run."""
+        return render(request_id)
+
     async def respond(self, reader, writer, arrival, body):
         """Work on a request and answer it."""
         run = asyncio.ensure_future(asyncio.sleep(self.work_s))
@@ -83,7 +87,7 @@
         closed.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await closed
-        writer.write(render(arrival.request_id))
+        writer.write(self.render_response(arrival.request_id))
         await writer.drain()
         arrival.ended = True
 
