--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,14 +1,13 @@
-"""A store that resets connections ends the processes of the hosts."""
+"""An entry that cannot be read ends the processes of all hosts."""
 
 import asyncio
 import collections
-import contextlib
+import json
 import sys
 
 from review.common import cases
 from review.common import clients
 from review.common import fleet as fleet_module
-from review.common import gate as gate_module
 from review.common import hosts as hosts_module
 from review.common import kept
 from review.common import store as store_module
@@ -19,9 +18,18 @@
 WORK_S = 0.4
 
 SETTLE_S = 3.0
-# Longest outage of the whole store in the site file, and the time after it.
-OUTAGE_S = 4.5
-CALM_S = 8.0
+# The entry is there for this time: it comes, and is taken away.
+ENTRY_S = 12.0
+AFTER_S = 5.0
+
+# Nested lists in place of the text in `version`; about 3 KB.
+NESTED_LISTS = 1_500
+
+
+def _make_foreign_entry(address):
+    entry = store_module.describe_server('orders', address, 'zone-a')
+    nested = '[' * NESTED_LISTS + ']' * NESTED_LISTS
+    return json.dumps(entry).replace('"v1"', nested).encode()
 
 
 async def _play(record, has_trouble):
@@ -29,33 +37,27 @@
     net = hosts_module.find_net()
     store = store_module.Store()
     rules = [store_module.describe_route('order', 'unsafe', 'orders')]
-    # Without tenants, requests need no key.
-    configuration = store_module.describe_config(1, rules, ['orders'])
-    store.put('op/config', {**configuration, 'tenants': []})
+    store.put('op/config', store_module.describe_config(1, rules, ['orders']))
     fleet = await fleet_module.start_servers(
         net, record, store, {'orders': (SERVERS, WORK_S)}
     )
-    requesters = clients.Requesters(record, key=None)
+    requesters = clients.Requesters(record)
     ends = collections.Counter()
-    async with contextlib.AsyncExitStack() as stack:
-        behind = await stack.enter_async_context(store.serve(f'{net}.16'))
-        gate = await stack.enter_async_context(
-            gate_module.run_gate(f'{net}.15', behind)
-        )
-        hosts = await stack.enter_async_context(
-            hosts_module.run_hosts(HOSTS, gate.address, net)
-        )
-        tasks = await stack.enter_async_context(clients.run_tasks())
+    async with (
+        store.serve(f'{net}.16') as registry,
+        hosts_module.run_hosts(HOSTS, registry, net) as hosts,
+        clients.run_tasks() as tasks,
+    ):
         kept.start(tasks, hosts, requesters, CONNECTIONS_PER_HOST, ends)
         await asyncio.sleep(SETTLE_S)
         if has_trouble:
-            record.add('the store resets connections')
-            await gate.set_mode('reset')
-        await asyncio.sleep(OUTAGE_S)
+            record.add('another writer puts an entry that cannot be read')
+            store.put('servers/i-foreign', _make_foreign_entry(f'{net}.4:9'))
+        await asyncio.sleep(ENTRY_S)
         if has_trouble:
-            record.add('the store serves again')
-            await gate.set_mode('pass')
-        await asyncio.sleep(CALM_S)
+            record.add('the entry is taken away')
+            store.remove('servers/i-foreign')
+        await asyncio.sleep(AFTER_S)
         kept.record_errors(hosts, record)
     return kept.judge(requesters.sent, fleet['orders'], ends, record)
 
