Decode nested values without an error that ends the process

The log of each host shows it: "RecursionError: maximum recursion depth exceeded while deserializing an object" (4 of 4 hosts, 16 to 17 ends each in 12 s).

All bytes from outside are decoded by decoding.decode() now, which turns each error of a decoder into DecodingError: entries, responses of the registry, datagrams, batches of changes and headers of relayed requests. The latter places had the same gap. Ruled out: a crash in the decoder's C code (the error is an ordinary exception, also for 100,000 levels), and the page of the registry itself (values are base64 text there).

--- a/lavenderstile/edge/change_batches.py
+++ b/lavenderstile/edge/change_batches.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from .. import decoding
+from .. import errors
 from . import models
 
 # Larger messages go to RELAY_COUNT hosts, which forward them to the others: a
@@ -55,8 +57,8 @@
     try:
         decompressor = zlib.decompressobj()
         data = decompressor.decompress(packed, MAX_UNPACKED_BYTES)
-        return _DECODER.decode(data)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        return decoding.decode(_DECODER, data)
+    except (zlib.error, errors.DecodingError) as error:
         raise ChangeBatchError(str(error)) from error
 
 
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -10,8 +10,8 @@
 import random
 
 import eliot
-import msgspec
 
+from .. import errors
 from . import change_batches
 from . import health as health_module
 from . import messages
@@ -143,7 +143,7 @@
         """Handle a message of another host."""
         try:
             message = messages.unpack(data)
-        except msgspec.MsgspecError as error:
+        except errors.DecodingError as error:
             eliot.log_message(
                 'datagram_unreadable', sender=addr[0], error=str(error)
             )
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from .. import decoding
 from . import models
 
 # A datagram carries 64 KB; the remainder is for the addresses to forward to.
@@ -149,5 +150,5 @@
 
 
 def unpack(data):
-    """Return the message in a datagram; raises `msgspec.MsgspecError`."""
-    return _DECODER.decode(data)
+    """Return the message in a datagram; raises `errors.DecodingError`."""
+    return decoding.decode(_DECODER, data)
--- a/lavenderstile/edge/relay.py
+++ b/lavenderstile/edge/relay.py
@@ -13,6 +13,8 @@
 import h11
 import msgspec
 
+from .. import decoding
+from .. import errors
 from .. import headers as header_tools
 from .. import verdicts
 from . import callers
@@ -111,10 +113,10 @@
 def decode(headers):
     """Return the `RelayedRequest` of a request's headers.
 
-    Raises `msgspec.MsgspecError`.
+    Raises `errors.DecodingError`.
     """
     value = header_tools.find_header(headers, REQUEST_HEADER)
-    return _REQUEST_DECODER.decode(value or b'')
+    return decoding.decode(_REQUEST_DECODER, value or b'')
 
 
 class RelayClient:
@@ -183,7 +185,7 @@
         call.sends[-1] += f' {response.status}'
         try:
             return _make_relayed(response)
-        except msgspec.MsgspecError as error:
+        except errors.DecodingError as error:
             eliot.log_message(
                 'relay_unreadable',
                 id=call.request_id,
@@ -229,7 +231,7 @@
     ]
     return Relayed(
         callers.CallerResponse(response.status, headers, response.body),
-        _REFUSAL_DECODER.decode(value) if value else None,
+        decoding.decode(_REFUSAL_DECODER, value) if value else None,
     )
 
 
@@ -243,7 +245,7 @@
         """Return the response; that of a refusal has a header about it."""
         try:
             relayed = decode(request.headers)
-        except msgspec.MsgspecError as error:
+        except errors.DecodingError as error:
             self.record_fault(400, str(error))
             return self.make_refusal(400, 'relay header is invalid')
         request.headers = [
--- a/lavenderstile/errors.py
+++ b/lavenderstile/errors.py
@@ -39,6 +39,10 @@
     """The configuration service or host list sent no usable response."""
 
 
+class DecodingError(LavenderstileError):
+    """Bytes from outside the process hold no value of the expected type."""
+
+
 class RefusedError(LavenderstileError):
     """A request was refused; `refusal` says why and whether it ran."""
 
--- a/lavenderstile/platform/objects.py
+++ b/lavenderstile/platform/objects.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from .. import decoding
+from .. import errors
 from ..edge import directory
 from ..edge import models
 
@@ -105,8 +107,8 @@
 def decode_configuration(data):
     """Return the `Configuration` in a value; raises `ObjectError`."""
     try:
-        config = _CONFIG_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        config = decoding.decode(_CONFIG_DECODER, data)
+    except errors.DecodingError as error:
         raise ObjectError(f'configuration: {error}') from None
     routes = [
         _make_route(listener.host, rule)
@@ -177,10 +179,10 @@
 def decode_target(instance, data):
     """Return the `Target` in a value; raises `ObjectError`."""
     try:
-        server = _SERVER_DECODER.decode(data)
+        server = decoding.decode(_SERVER_DECODER, data)
         address, _, port = server.address.rpartition(':')
         port = int(port)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+    except (errors.DecodingError, ValueError) as error:
         raise ObjectError(f'target {instance}: {error}') from None
     if server.state not in ('ready', 'draining') or not address:
         raise ObjectError(f'target {instance}: unknown state or no address')
--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -8,6 +8,7 @@
 import h11
 import msgspec
 
+from .. import decoding
 from .. import errors
 from .. import headers as header_tools
 from ..edge import directory
@@ -53,6 +54,10 @@
     current_rev: int
 
 
+_RANGE_DECODER = msgspec.json.Decoder(_Range)
+_EVENTS_DECODER = msgspec.json.Decoder(_Events)
+
+
 class StoreClient:
     """Reads the store over one persistent connection."""
 
@@ -72,7 +77,7 @@
             if after:
                 query['after'] = after
             response = await self._get('kv-range', query, 0.0)
-            page = _parse('kv-range', response.body, _Range)
+            page = _parse('kv-range', response.body, _RANGE_DECODER)
             # Later pages may be newer than the first one, so that changes are
             # watched from the first one's revision.
             if revision is None:
@@ -99,7 +104,7 @@
 
     def decode_changes(self, body, era):
         """Return the `Changes` in the response to a watch."""
-        response = _parse('kv-watch', body, _Events)
+        response = _parse('kv-watch', body, _EVENTS_DECODER)
         events = [
             (item.revision, event)
             for item in response.events
@@ -168,10 +173,10 @@
         ) from None
 
 
-def _parse(call, body, kind):
+def _parse(call, body, decoder):
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.decode(decoder, body)
+    except errors.DecodingError as error:
         raise errors.PlatformError(f'{call}: {error}') from error
 
 
--- a/tests/edge/test_messages.py
+++ b/tests/edge/test_messages.py
@@ -2,9 +2,8 @@
 
 import unittest
 
-import msgspec
-
 from lavenderstile.edge import messages
+from lavenderstile import errors
 from tests.edge import builders
 
 
@@ -44,5 +43,5 @@
             b'\xff',
             messages.pack(messages.RegistryChanges(b'', []))[:-1],
         ):
-            with self.assertRaises(msgspec.MsgspecError):
+            with self.assertRaises(errors.DecodingError):
                 messages.unpack(data)
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from emulator import registry_store
 from lavenderstile import clocks
 from lavenderstile.edge import change_batches
@@ -17,6 +19,15 @@
 from tests.edge import builders
 from tests.edge import edge_case
 
+# More than a decoder accepts.
+NESTED_LISTS = 100_000
+
+
+def make_nested_entry(entry):
+    """Return an entry whose `version` is a deeply nested list."""
+    nested = b'[' * NESTED_LISTS + b']' * NESTED_LISTS
+    return msgspec.json.encode(entry).replace(b'"v"', nested)
+
 
 class WatcherCase(unittest.IsolatedAsyncioTestCase):
     """Test case with a watcher and a stand-in for the store."""
@@ -142,6 +153,20 @@
         await self.wait_until(lambda: self.watcher.is_synchronized)
         self.assertEqual(self.list_instances(), {'good'})
 
+    async def test_a_deeply_nested_entry_is_ignored(self):
+        """Guards against an entry that ends the process that reads it."""
+        entry = registry_store.describe_target('10.9.0.1:81', version='v')
+        nested = make_nested_entry(entry)
+        self.put_target('first')
+        self.store.put('servers/nested', nested)
+        self.start()
+        await self.wait_until(lambda: self.list_instances() == {'first'})
+        self.store.put('servers/nested-too', nested)
+        self.put_target('second', address='10.9.0.1:82')
+        await self.wait_until(
+            lambda: self.list_instances() == {'first', 'second'}
+        )
+
     async def test_an_entry_that_becomes_invalid_is_removed(self):
         self.put_target()
         self.start()
