Bound the numbers and texts of entries and configurations

Callers of a service got no response at all while one of its entries had a number of slots with 400 digits: the balancer multiplies it by 0.5 and 1.5, which raises OverflowError in the task of each request. Numbers of a configuration fail between hosts: a priority above 64 bits can't be packed into an update, and the task that sends updates ends the process; weights that are all 0, or negative, fail the choice of a service. Texts had no bound but that of a value, 1 MB, for each entry.

Values are decoded within bounds now: a target's entry outside of them names no usable target, and a configuration outside of them is not taken over; both are logged. Ruled out: 1e400 and NaN (the decoder refuses them), and a large `warmupLeftS` (a float that stays finite in sums).

--- a/lavenderstile/platform/objects.py
+++ b/lavenderstile/platform/objects.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import typing
 
 import msgspec
 
@@ -19,20 +20,41 @@
 _UPLOAD_KIND = 'upload'
 
 
+# Bounds of numbers, far above those of any real target or configuration.
+# Larger ones don't fit the messages between hosts or overflow in sums.
+MAX_SLOTS = 100_000
+MAX_UNIX_MS = 2**43
+MAX_COUNT = 2**53
+MAX_SECONDS = 1e6
+MAX_RATE = 1e9
+MAX_PRIORITY = 2**31
+
+# Longest text of an entry, in characters. Keys of the store are shorter.
+MAX_TEXT = 200
+
+_Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
+_Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+_Priority = typing.Annotated[
+    int, msgspec.Meta(ge=-MAX_PRIORITY, le=MAX_PRIORITY)
+]
+
+
 class ObjectError(Exception):
     """A value of the store is invalid."""
 
 
 class _Part(msgspec.Struct, rename='camel'):
     service: str
-    weight: float
+    weight: _Rate
 
 
 class _Action(msgspec.Struct, rename='camel'):
     service: str | None = None
     traffic_split: list[_Part] | None = None
-    timeout_s: float | None = None
-    max_attempts: int = 1
+    timeout_s: _Seconds | None = None
+    max_attempts: _Count = 1
 
 
 class _Match(msgspec.Struct, rename='camel'):
@@ -45,8 +67,8 @@
     name: str = ''
     route_type: str = 'unsafe'
     # Latency objective, not a time-out.
-    target_latency_s: float | None = None
-    priority: int = 0
+    target_latency_s: _Seconds | None = None
+    priority: _Priority = 0
     # Whether callers need no API key.
     public: bool = False
 
@@ -59,28 +81,28 @@
 class _Cluster(msgspec.Struct, rename='camel'):
     name: str
     health_check: str = '/health'
-    max_connections: int = 100
-    warmup_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_connections: _Count = 100
+    warmup_s: _Seconds = 0.0
+    cold_per_s: _Rate = 0.0
 
 
 class _Tenant(msgspec.Struct, rename='camel'):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    priority: _Priority | None = None
+    rate_per_s: _Rate = 0.0
+    burst: _Rate = 0.0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 64 * 1024 * 1024
-    header_timeout_s: float = 5.0
-    idle_timeout_s: float = 15.0
+    max_header_bytes: _Count = 16 * 1024
+    max_body_bytes: _Count = 64 * 1024 * 1024
+    header_timeout_s: _Seconds = 5.0
+    idle_timeout_s: _Seconds = 15.0
 
 
 class _Config(msgspec.Struct, rename='camel'):
-    version: int
+    version: _Count
     listeners: list[_Listener] = []
     clusters: list[_Cluster] = []
     tenants: list[_Tenant] = []
@@ -88,16 +110,16 @@
 
 
 class _Server(msgspec.Struct, rename='camel'):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
+    service: _Text
+    address: _Text
+    zone: _Text
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: _Text
     # Remaining time, not the whole warm-up.
-    warmup_left_s: float = 0.0
-    born: int = 0
+    warmup_left_s: typing.Annotated[float, msgspec.Meta(le=MAX_SECONDS)] = 0.0
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)] = 0
     # Counts the heartbeats since `born`.
-    seq: int = 0
+    seq: _Count = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -155,6 +177,8 @@
             models.WeightedService(part.service, part.weight)
             for part in action.traffic_split
         )
+        if not any(part.weight for part in parts):
+            raise ObjectError(f'route {rule.name}: all weights are 0')
     elif action.service:
         parts = (models.WeightedService(action.service, 1.0),)
     else:
@@ -186,8 +210,8 @@
         raise ObjectError(f'target {instance}: {error}') from None
     if server.state not in ('ready', 'draining') or not address:
         raise ObjectError(f'target {instance}: unknown state or no address')
-    if server.slots < 1 or not 0 < port < 65536:
-        raise ObjectError(f'target {instance}: slots or port out of range')
+    if not 0 < port < 65536:
+        raise ObjectError(f'target {instance}: port out of range')
     return models.Target(
         instance=instance,
         service=server.service,
--- /dev/null
+++ b/tests/platform_adapter/test_objects.py
@@ -0,0 +1,127 @@
+"""Tests of decoding the values of the store."""
+
+import unittest
+
+import msgspec
+
+from emulator import registry_store
+from lavenderstile.edge import messages
+from lavenderstile.platform import objects
+from tests.edge import builders
+
+ADDRESS = '10.9.0.1:80'
+
+
+def encode_target(**changes):
+    """Return the bytes of an entry; `changes` may be `msgspec.Raw`."""
+    entry = registry_store.describe_target(ADDRESS, **changes)
+    return msgspec.json.encode(entry)
+
+
+def make_number(digits):
+    """Return a whole number of that many digits, as JSON."""
+    return msgspec.Raw(b'9' * digits)
+
+
+class TargetNumberTest(unittest.TestCase):
+    """Guards against numbers of an entry that overflow where they are used.
+
+    The number of slots is multiplied with fractions for each request, which
+    raises OverflowError for large ones.
+    """
+
+    def test_numbers_out_of_bounds_are_errors(self):
+        numbers = (
+            *(make_number(digits) for digits in (16, 19, 20, 30, 400, 5000)),
+            *(msgspec.Raw(text) for text in (b'1e400', b'NaN', b'-1e30')),
+        )
+        for name in ('slots', 'seq', 'born', 'warmupLeftS'):
+            for number in numbers:
+                if name == 'warmupLeftS' and bytes(number) == b'-1e30':
+                    # The time that is left may have passed already.
+                    continue
+                with self.subTest(name=name, number=bytes(number)[:20]):
+                    with self.assertRaises(objects.ObjectError):
+                        objects.decode_target(
+                            'i-1', encode_target(**{name: number})
+                        )
+
+    def test_slots_are_positive(self):
+        for slots in (0, -1):
+            with self.assertRaises(objects.ObjectError):
+                objects.decode_target('i-1', encode_target(slots=slots))
+
+    def test_the_largest_numbers_can_be_used(self):
+        target = objects.decode_target(
+            'i-1',
+            encode_target(
+                slots=objects.MAX_SLOTS,
+                seq=objects.MAX_COUNT,
+                born=objects.MAX_UNIX_MS,
+                warmupLeftS=objects.MAX_SECONDS,
+            ),
+        )
+        fixture = builders.BalancerFixture([target], domain='zone-a')
+        chosen = fixture.choose()
+        fixture.balancer.is_critical(chosen.known, 0.0)
+        messages.pack(messages.Crash('d', f'{target.started_ms}'))
+
+
+class TargetTextTest(unittest.TestCase):
+    """Guards against texts of an entry that fill the memory of a host."""
+
+    def test_long_texts_are_errors(self):
+        for name in ('service', 'zone', 'state', 'address'):
+            with self.subTest(name=name):
+                with self.assertRaises(objects.ObjectError):
+                    objects.decode_target(
+                        'i-1', encode_target(**{name: 'x' * 100_000})
+                    )
+
+
+class ConfigurationNumberTest(unittest.TestCase):
+    """Guards against numbers that cannot be sent to other hosts or summed."""
+
+    def decode(self, version=3, **changes):
+        data = registry_store.describe_configuration(version, **changes)
+        return objects.decode_configuration(msgspec.json.encode(data))
+
+    def decode_rule(self, **changes):
+        rule = registry_store.make_rule('read', '/read/', 'safe', **changes)
+        listener = {'host': 'races.example', 'rules': [rule]}
+        return self.decode(listeners=[listener])
+
+    def test_numbers_out_of_bounds_are_errors(self):
+        huge = make_number(30)
+        tenant = {'name': 'club', 'apiKeys': ['k']}
+        for changes in (
+            {'version': huge},
+            {'version': -1},
+            {'tenants': [{**tenant, 'priority': huge}]},
+            {'tenants': [{**tenant, 'ratePerS': huge}]},
+            {'tenants': [{**tenant, 'burst': -1}]},
+            {'limits': {'maxHeaderBytes': -1}},
+            {'limits': {'headerTimeoutS': huge}},
+        ):
+            with self.subTest(changes=str(changes)[:40]):
+                with self.assertRaises(objects.ObjectError):
+                    self.decode(**changes)
+
+    def test_weights_that_choose_no_service_are_an_error(self):
+        for weights in ((0, 0), (1, -1)):
+            parts = [
+                {'service': f's-{index}', 'weight': weight}
+                for index, weight in enumerate(weights)
+            ]
+            with self.assertRaises(objects.ObjectError):
+                self.decode_rule(service=None, trafficSplit=parts)
+
+    def test_the_largest_priority_fits_a_message(self):
+        priority = objects.MAX_PRIORITY
+        tenant = {'name': 'club', 'apiKeys': ['k'], 'priority': -priority}
+        configuration = self.decode(tenants=[tenant])
+        found = configuration.workspaces['club'].priority
+        update = builders.make_update(
+            '10.1.0.1', waiting={'ledger': {found: 1, priority: 2}}
+        )
+        self.assertEqual(messages.unpack(messages.pack(update)), update)
