Accept only IPv4 addresses with a port in entries of targets

Callers whose request chose an entry with another address got no response, within their time limit or later; when a target crashed, hosts ended with all their requests. Any text with a colon was taken for an address, so that a connect looked a name up, or raised ValueError ("embedded null character") or UnicodeError (a label over 63 characters), which only OSError was expected of. In the task of a request that leaves the caller without a response; in the tests of the paths, which begin when a connection breaks, it ends the process. Ports were read by int(), which also takes signs, underscores and other digits.

addresses.parse_host_port, which checks the settings, now checks entries too. Hosts reach targets over IPv4 only, so that IPv6 addresses, whose scope can hold any text, are refused as well. Ruled out: catching more errors in connect, as a name that resolves slowly would still hold a request back.

--- a/lavenderstile/platform/objects.py
+++ b/lavenderstile/platform/objects.py
@@ -2,10 +2,12 @@
 
 import base64
 import binascii
+import ipaddress
 import typing
 
 import msgspec
 
+from .. import addresses
 from .. import decoding
 from .. import errors
 from ..edge import directory
@@ -204,14 +206,12 @@
     """Return the `Target` in a value; raises `ObjectError`."""
     try:
         server = decoding.decode(_SERVER_DECODER, data)
-        address, _, port = server.address.rpartition(':')
-        port = int(port)
+        address, port = addresses.parse_host_port(server.address)
+        ipaddress.IPv4Address(address)
     except (errors.DecodingError, ValueError) as error:
         raise ObjectError(f'target {instance}: {error}') from None
-    if server.state not in ('ready', 'draining') or not address:
-        raise ObjectError(f'target {instance}: unknown state or no address')
-    if not 0 < port < 65536:
-        raise ObjectError(f'target {instance}: port out of range')
+    if server.state not in ('ready', 'draining'):
+        raise ObjectError(f'target {instance}: unknown state')
     return models.Target(
         instance=instance,
         service=server.service,
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -79,6 +79,51 @@
                     )
 
 
+class TargetAddressTest(unittest.TestCase):
+    """Guards against addresses to which no connection can be opened.
+
+    A name is looked up for seconds, and some texts raise ValueError, which
+    ends the task that connects: that of a request, or that of the path tests
+    and with it the process.
+    """
+
+    def test_what_is_no_ip_address_with_a_port_is_an_error(self):
+        for address in (
+            '',
+            '10.9.0.1',
+            '10.9.0.1:',
+            ':80',
+            'target.example:80',
+            'x' * 70 + '.example:80',
+            '..:80',
+            '10.9.0\0.1:80',
+            '10.9.0.1:0',
+            '10.9.0.1:65536',
+            '10.9.0.1:-80',
+            '10.9.0.1:+80',
+            '10.9.0.1: 80',
+            '10.9.0.1:8_0',
+            '10.9.0.1:\u0668\u0660',
+            '10.9.0.1:' + '9' * 60,
+            '10.9.0.1:80:80',
+            '0.0.0.0:80',
+            '224.0.0.1:80',
+            '::1:80',
+            '[::1]:80',
+            '[fe80::1%\0]:80',
+            'http://10.9.0.1:80',
+        ):
+            with self.subTest(address=address[:30]):
+                with self.assertRaises(objects.ObjectError):
+                    objects.decode_target(
+                        'i-1', encode_target(address=address)
+                    )
+
+    def test_an_address_with_a_port_is_decoded(self):
+        target = objects.decode_target('i-1', encode_target())
+        self.assertEqual((target.address, target.port), ('10.9.0.1', 80))
+
+
 class ConfigurationNumberTest(unittest.TestCase):
     """Guards against numbers that cannot be sent to other hosts or summed."""
 
