Accept only visible ASCII characters in the id of a target

Callers whose request chose a target with a line break, a leading space or a null in its id got no response: the id is sent in a header, and h11 refuses such a value with LocalProtocolError, which ended the task of the request. The id comes from the key of the entry, which another writer chooses. Such an entry names no usable target now. Ruled out: escaping the id, since a target compares it with its own.

The new test failed before in 7 of 7 subtests.

--- a/lavenderstile/platform/objects.py
+++ b/lavenderstile/platform/objects.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import ipaddress
+import re
 import typing
 
 import msgspec
@@ -34,6 +35,9 @@
 # Longest text of an entry, in characters. Keys of the store are shorter.
 MAX_TEXT = 200
 
+# An instance is sent to its target in a header.
+_INSTANCE = re.compile(f'[!-~]{{1,{MAX_TEXT}}}')
+
 _Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 _Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
@@ -204,6 +208,8 @@
 
 def decode_target(instance, data):
     """Return the `Target` in a value; raises `ObjectError`."""
+    if not _INSTANCE.fullmatch(instance):
+        raise ObjectError(f'target {instance!r}: not the name of an instance')
     try:
         server = decoding.decode(_SERVER_DECODER, data)
         address, port = addresses.parse_host_port(server.address)
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -124,6 +124,24 @@
         self.assertEqual((target.address, target.port), ('10.9.0.1', 80))
 
 
+class InstanceTest(unittest.TestCase):
+    """Guards against instances that cannot be sent in a header.
+
+    The error would end the task of each request that chooses the target, and
+    its caller would get no response.
+    """
+
+    def test_what_a_header_cannot_hold_is_an_error(self):
+        for instance in ('', ' i-1', 'i-1 ', 'i\n1', 'i-1\n', 'i\0', 'i-\x7f'):
+            with self.subTest(instance=instance):
+                with self.assertRaises(objects.ObjectError):
+                    objects.decode_target(instance, encode_target())
+
+    def test_visible_characters_are_accepted(self):
+        target = objects.decode_target('i-1/a:b', encode_target())
+        self.assertEqual(target.instance, 'i-1/a:b')
+
+
 class ConfigurationNumberTest(unittest.TestCase):
     """Guards against numbers that cannot be sent to other hosts or summed."""
 
