Bound the numbers in headers of callers and targets

A caller whose deadline had 400 digits got no response; with a body that was still due, its process ended with all other requests. int(text) / 1000 raises OverflowError for it: in the task of the request, and in the one that enforces the time limits of callers, which reads the deadline again for a body. A target that named a load of 20 digits ended the processes of the hosts that it answered: the load goes into the next update to the domain, which can't be packed then. The same header with 400 digits failed the balancer's sum.

Numbers have at most 12 digits for times, 6 for loads now; others are logged and ignored, as those that are no numbers were. Ruled out: the keep-alive time-out (float() gives inf, which every comparison bears) and the limit that targets state (checked to be finite); the first has the same bound now.

--- a/lavenderstile/platform/headers.py
+++ b/lavenderstile/platform/headers.py
@@ -2,6 +2,8 @@
 
 import math
 
+import eliot
+
 from .. import headers as header_tools
 from ..edge import parsed_headers
 
@@ -18,6 +20,13 @@
 
 KEY_SCHEME = 'token'
 
+# Digits of the numbers in headers. More can't be converted to a float, or
+# don't fit the messages between hosts.
+MAX_TIME_DIGITS = 12
+MAX_LOAD_DIGITS = 6
+
+MAX_LOGGED_TEXT = 40
+
 # Headers of callers that are not forwarded: the host sets its own, and the API
 # key must not reach targets.
 _NOT_FORWARDED_TO_TARGETS = frozenset(
@@ -54,7 +63,7 @@
             )
         return parsed_headers.ParsedRequestHeaders(
             _get_text(values, ATTEMPT_ID),
-            _read_milliseconds(_get_text(values, DEADLINE)),
+            _read_milliseconds(values.get(DEADLINE, (None,))[0]),
             _read_key(_get_text(values, AUTHORIZATION)),
         )
 
@@ -108,11 +117,22 @@
     return texts[0].decode('latin-1') if texts else None
 
 
-def _read_milliseconds(text):
-    try:
-        return max(0, int(text)) / 1000 if text else None
-    except ValueError:
+def _read_number(value, max_digits):
+    """Return the whole number in a header's value, or None."""
+    if value.isdigit() and len(value) <= max_digits:
+        return int(value)
+    eliot.log_message(
+        'header_unreadable', text=value[:MAX_LOGGED_TEXT].decode('latin-1')
+    )
+    return None
+
+
+def _read_milliseconds(value):
+    """Return a time in seconds, or None."""
+    if not value:
         return None
+    number = _read_number(value, MAX_TIME_DIGITS)
+    return None if number is None else number / 1000
 
 
 def _read_key(text):
@@ -126,11 +146,14 @@
 
 def _read_load(value):
     """Return the running and waiting requests that a target reports."""
-    try:
-        running, waiting, _ = value.split(b',')
-        return int(running), int(waiting)
-    except (AttributeError, ValueError):
+    if value is None:
         return None
+    running, _, others = value.partition(b',')
+    counts = (
+        _read_number(running.strip(), MAX_LOAD_DIGITS),
+        _read_number(others.partition(b',')[0].strip(), MAX_LOAD_DIGITS),
+    )
+    return None if None in counts else counts
 
 
 def _read_limit(value):
@@ -150,6 +173,6 @@
     """Return the idle time-out of a target's connection, in seconds."""
     for part in (value or b'').split(b','):
         name, _, text = part.strip().partition(b'=')
-        if name.lower() == b'timeout' and text.isdigit():
-            return float(text)
+        if name.lower() == b'timeout':
+            return _read_number(text, MAX_TIME_DIGITS)
     return None
--- a/tests/edge/test_callers.py
+++ b/tests/edge/test_callers.py
@@ -12,6 +12,29 @@
 )
 
 
+class DeadlineTest(edge_case.EdgeCase):
+    """Guards against a deadline that ends the task which reads it."""
+
+    DEADLINE = ('X-Lavenderstile-Deadline-Ms', '9' * 400)
+
+    async def test_a_deadline_that_is_no_time_is_replaced(self):
+        await self.add_target()
+        status, _, _ = await self.request(
+            '/read/1', extra_headers=[self.DEADLINE]
+        )
+        self.assertEqual(status, 200)
+
+    async def test_time_limits_are_enforced_beside_it(self):
+        async with self.connect() as caller:
+            caller.writer.write(
+                HEAD
+                + f'{self.DEADLINE[0]}: {self.DEADLINE[1]}\r\n'.encode()
+                + b'Content-Length: 9\r\n\r\n'
+            )
+            await self.wait_until(lambda: self.server.active_count)
+            self.server.sweep()
+
+
 class FramingTest(edge_case.EdgeCase):
     """Guards against request smuggling and malformed requests."""
 
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from lavenderstile.edge import messages
 from lavenderstile.edge import parsed_headers
 from lavenderstile.platform import headers
+from tests.edge import builders
 
 
 class RequestTest(unittest.TestCase):
@@ -36,6 +38,58 @@
         self.assertIsNotNone(self.headers.read_request([pair, pair]).fault)
 
 
+class NumberTest(unittest.TestCase):
+    """Guards against numbers that fail where they are used.
+
+    A deadline of 400 digits raised OverflowError in the task of its request,
+    and in the one that enforces the time limits of callers, whose end is the
+    end of the process. A load of 20 digits could not be sent to other hosts.
+    """
+
+    def test_a_time_that_is_too_long_is_ignored(self):
+        codec = headers.Headers()
+        for digits in (13, 20, 400, 5000):
+            with self.subTest(digits=digits):
+                request = codec.read_request(
+                    [(headers.DEADLINE, b'9' * digits)]
+                )
+                self.assertIsNone(request.timeout_s)
+                response = codec.read_response(
+                    200,
+                    [
+                        (headers.WARMUP, b'9' * digits),
+                        (b'keep-alive', b'timeout=' + b'9' * digits),
+                    ],
+                )
+                self.assertIsNone(response.cold_s)
+                self.assertIsNone(response.keep_alive_s)
+
+    def test_a_load_that_is_no_pair_of_counts_is_ignored(self):
+        codec = headers.Headers()
+        for value in (
+            b'',
+            b'3',
+            b'-3,0,4',
+            b'3,-1,4',
+            b'3,1_0,4',
+            b'1000000,0,4',
+            b'0,' + b'9' * 20 + b',4',
+            b'9' * 400 + b',0,4',
+            b'9' * 5000 + b',0,4',
+        ):
+            with self.subTest(value=value[:20]):
+                response = codec.read_response(200, [(headers.LOAD, value)])
+                self.assertIsNone(response.load)
+
+    def test_the_largest_load_can_be_sent_to_other_hosts(self):
+        load = headers.Headers().read_response(
+            200, [(headers.LOAD, b'999999,999999,4')]
+        )
+        report = ('ledger', 0.1, sum(load.load))
+        update = builders.make_update('10.1.0.1', successes={'i-1': report})
+        self.assertEqual(messages.unpack(messages.pack(update)), update)
+
+
 class ResponseTest(unittest.TestCase):
     """Guards against misread headers of targets."""
 
