Treat a connection to the registry that is lost at once as a failed call

The error in each log is "OSError: [Errno 9] Bad file descriptor". The client sets the options of TCP keep-alive when open_connection has returned; by then the reset may have closed the socket. Only time-outs and the errors of http_client were expected there, so that the error ended the task that watches the registry, and the process.

Each OSError of a call is a failed call now, which is repeated after a pause. Ruled out: the options set in connection_made, which no error passes from.

--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -120,7 +120,9 @@
             async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
                 response = await self._exchange(url)
         except (
-            TimeoutError,
+            # Includes time-outs, and options that can't be set because the
+            # connection has been reset already.
+            OSError,
             http_client.ConnectError,
             http_client.ConnectionBroken,
         ) as error:
@@ -146,8 +148,8 @@
             connection = await http_client.open_connection(
                 *self._address, self._clock.now(), CONNECT_TIMEOUT_S
             )
-            _enable_tcp_keepalive(connection)
             self._connection = connection
+            _enable_tcp_keepalive(connection)
         host = f'{self._address[0]}:{self._address[1]}'
         request = h11.Request(
             method='GET', target=url, headers=[('Host', host)]
