Contain an unexpected error in the request or the task that it occurs in

Processes ended by themselves with all their requests when one background task met an error that nothing expected, and a caller got no response until its deadline when the task of its request did.

A background task runs again after a pause, with a log line that has the traceback. A request is refused with the reason internal_error: not run if it was never sent, else it may have run; a connection whose response can't be sent ends. Ruled out: ending the process on such an error (it is restarted within seconds, but its requests are lost, and an entry or a caller that is still there ends it again).

--- a/lavenderstile/edge/callers.py
+++ b/lavenderstile/edge/callers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import socket
+import traceback
 
+import eliot
 import h11
 
 from . import models
@@ -235,9 +237,18 @@
     async def _run(self, request):
         try:
             response = await self._server.handle(request)
+            self._send_response(response, request)
         except asyncio.CancelledError:
             return
-        self._send_response(response, request)
+        except Exception as error:
+            # Without a response the caller would wait for its deadline.
+            eliot.log_message(
+                'connection_error',
+                path=request.path,
+                error=repr(error),
+                traceback=traceback.format_exc(),
+            )
+            self._transport.abort()
 
     def _send_response(self, response, request):
         self._server.buffered_bytes -= self._body_size
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -4,6 +4,7 @@
 import contextlib
 import math
 import random
+import traceback
 
 import eliot
 
@@ -106,6 +107,9 @@
         except asyncio.CancelledError:
             self._log(call, request, 'caller left', 0)
             raise
+        except Exception as error:
+            response = refusals.make_response(_refuse_after_error(call, error))
+            outcome = _describe_outcome(response)
         self._log(call, request, outcome, response.status)
         return response
 
@@ -549,6 +553,22 @@
         return choice.known if self._may_send_again(call, now) else None
 
 
+def _refuse_after_error(call, error):
+    """Log an unexpected error; return the refusal of its request."""
+    eliot.log_message(
+        'request_error',
+        id=call and call.request_id,
+        error=repr(error),
+        traceback=traceback.format_exc(),
+    )
+    is_sent = call is not None and bool(call.sends)
+    return verdicts.Refusal(
+        Reason.INTERNAL_ERROR,
+        f'unexpected error: {type(error).__name__}',
+        Verdict.MAY_HAVE_RUN if is_sent else Verdict.NOT_RUN,
+    )
+
+
 def _describe_outcome(response):
     refusal = response.refusal
     if refusal is None:
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
+import traceback
 
 import eliot
 import msgspec
@@ -42,6 +44,9 @@
 # load balancer sends no more callers then. Most requests take less.
 LATE_REQUEST_S = 3.0
 
+# Pause before a background task runs again after an unexpected error.
+TASK_RESTART_DELAY_S = 0.25
+
 SWEEP_INTERVAL_S = 0.5
 SETTINGS_INTERVAL_S = 2.0
 STOP_POLL_S = 0.05
@@ -284,15 +289,15 @@
             self._settings.address, self._settings.peer_port
         )
         await self._callers.start(*self._settings.caller_listen)
-        coroutines = (
-            self._mesh.run(),
-            self._watcher.run(),
-            self._log.run(),
-            self.parts.path_tester.run(),
-            self._sweep(status),
-            self._watch_settings(),
+        loops = (
+            self._mesh.run,
+            self._watcher.run,
+            self._log.run,
+            self.parts.path_tester.run,
+            functools.partial(self._sweep, status),
+            self._watch_settings,
         )
-        async with _background_tasks(coroutines):
+        async with _background_tasks(loops):
             await self._stopping.wait()
             await self._stop()
         eliot.log_message('stop', connections=self._callers.open_count)
@@ -352,11 +357,31 @@
         self._mesh.leave()
 
 
+async def run_restarting(loop):
+    """Run a coroutine function again after each unexpected error.
+
+    The end of the process would cost all its requests, and an error that has
+    its cause outside of the process may come again right after its restart.
+    """
+    while True:
+        try:
+            await loop()
+            return
+        except Exception as error:
+            eliot.log_message(
+                'task_restarted',
+                task=getattr(loop, '__qualname__', repr(loop)),
+                error=repr(error),
+                traceback=traceback.format_exc(),
+            )
+        await asyncio.sleep(TASK_RESTART_DELAY_S)
+
+
 @contextlib.asynccontextmanager
-async def _background_tasks(coroutines):
-    """Run coroutines during the block; one that fails ends the block."""
+async def _background_tasks(loops):
+    """Run coroutine functions in tasks during the block."""
     async with asyncio.TaskGroup() as group:
-        tasks = [group.create_task(coroutine) for coroutine in coroutines]
+        tasks = [group.create_task(run_restarting(loop)) for loop in loops]
         yield
         for task in tasks:
             task.cancel()
--- a/lavenderstile/edge/refusals.py
+++ b/lavenderstile/edge/refusals.py
@@ -19,6 +19,7 @@
     Reason.CRASHES_TARGETS: 503,
     Reason.TARGET_TIMEOUT: 503,
     Reason.TARGET_BROKEN: 503,
+    Reason.INTERNAL_ERROR: 503,
 }
 
 # Jitter of Retry-After, as a share of it, so that callers do not all retry at
--- a/lavenderstile/verdicts.py
+++ b/lavenderstile/verdicts.py
@@ -40,6 +40,7 @@
     ALREADY_CLAIMED = 'already_claimed'
     CLAIMS_UNREACHABLE = 'claims_unreachable'
     ALONE = 'alone'
+    INTERNAL_ERROR = 'internal_error'
 
 
 STATUS_BY_REASON = {
@@ -68,6 +69,7 @@
     Reason.ALREADY_CLAIMED: 409,
     Reason.CLAIMS_UNREACHABLE: 503,
     Reason.ALONE: 503,
+    Reason.INTERNAL_ERROR: 500,
 }
 
 
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import time
+from unittest import mock
 
 import eliot
 import msgspec
 
 from emulator import registered_target as standin
 from emulator import registry_store
+from lavenderstile.edge import callers
 from lavenderstile.edge import directory
 from lavenderstile.edge import handler
 from lavenderstile.platform import objects
@@ -378,6 +380,45 @@
         self.assertEqual((len(first.seen), len(second.seen)), (0, 1))
 
 
+class UnexpectedErrorTest(edge_case.EdgeCase):
+    """Guards against callers that an unexpected error leaves unanswered."""
+
+    async def request_with_error(self, owner, name):
+        """Send a request during which a method raises an error."""
+        error = ArithmeticError('unexpected')
+        with mock.patch.object(owner, name, autospec=True, side_effect=error):
+            status, _, body = await self.request('/pay/1', b'x')
+        return status, msgspec.json.decode(body)
+
+    async def test_before_the_send_it_has_not_run(self):
+        target = await self.add_target()
+        status, body = await self.request_with_error(
+            self.handler, '_find_target'
+        )
+        self.assertEqual((status, body['verdict']), (503, 'not-run'))
+        self.assertEqual(target.seen, [])
+
+    async def test_after_the_send_it_may_have_run(self):
+        await self.add_target()
+        status, body = await self.request_with_error(
+            self.handler, '_handle_outcome'
+        )
+        self.assertEqual((status, body['verdict']), (502, 'may-have-run'))
+
+    async def test_a_response_that_cannot_be_sent_ends_the_connection(self):
+        await self.add_target()
+        error = ArithmeticError('unexpected')
+        with mock.patch.object(
+            callers.CallerConnection,
+            '_send_response',
+            autospec=True,
+            side_effect=error,
+        ):
+            async with self.connect() as caller:
+                caller.send('/pay/1', b'x')
+                self.assertEqual(await caller.read_to_end(), b'')
+
+
 class SplitTest(edge_case.EdgeCase):
     """Guards against a traffic split that shifts with free capacity."""
 
