Send no more requests to a target that says that it leaves

No code read the header, so that hosts learned of leaving targets from the store alone.

A response that belongs to its request and has the header excludes that run of the target, known by its instance and start, from the next choice on; hosts tell their domain, and domains each other, so that not each of them sends one more request. The next run, with a newer start, is used again. Ruled out: a time limit for the exclusion (a target serves on for many seconds, and one that gets no requests can't repeat what it said), and telling others of a target without a start, whose next run would look the same.

The new tests failed before (no such behaviour).

--- a/emulator/registered_target.py
+++ b/emulator/registered_target.py
@@ -51,6 +51,12 @@
     writer.write(render(request.request_id, 500, b'failed'))
 
 
+async def leave(target, request, writer):
+    """Run the request, send a success and say that the target leaves."""
+    headers = ['server-leaving: 1']
+    writer.write(render(request.request_id, headers=headers))
+
+
 async def shed(target, request, writer):
     """Reject the request without running it."""
     headers = ['x-lavenderstile-not-executed: 1']
--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -26,12 +26,22 @@
 
 @dataclasses.dataclass(slots=True)
 class KnownTarget:
-    """A target and the times that follow from its registry entry."""
+    """A target and the times that follow from its registry entry.
+
+    `is_leaving` is set when the target itself has said in a response that it
+    leaves, which its entry may say later or not at all.
+    """
 
     target: models.Target
     seen_at: float
     cold_until: float
     removed_at: float | None = None
+    is_leaving: bool = False
+
+    @property
+    def takes_requests(self):
+        """Whether the target may get new requests."""
+        return not (self.target.is_draining or self.is_leaving)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +103,7 @@
         '_evacuated',
         '_grace_until',
         '_held_targets',
+        '_leaving',
         '_listed_evacuated',
         '_position',
         '_restore_grace_until',
@@ -109,6 +120,7 @@
         self._grace_until = 0.0
         self._departed = {}
         self._held_targets = {}
+        self._leaving = []
         self._listed_evacuated = frozenset()
         self._restore_grace_until = 0.0
 
@@ -137,6 +149,27 @@
         """Known targets by instance, including those in their grace period."""
         return self._targets
 
+    @property
+    def leaving(self):
+        """Instance and start of the targets that say that they leave."""
+        return self._leaving
+
+    def mark_leaving(self, instance, started_ms):
+        """Send no more requests to a run of a target that leaves.
+
+        Returns whether this was not known.
+        """
+        known = self._targets.get(instance)
+        if (
+            known is None
+            or known.is_leaving
+            or known.target.started_ms != started_ms
+        ):
+            return False
+        known.is_leaving = True
+        self._index()
+        return True
+
     def list_targets(self, service):
         """Return the targets of a service that may get new requests."""
         return self._by_service.get(service, ())
@@ -268,7 +301,14 @@
                 known.removed_at = None
             return
         cold_until = now + target.cold_left_s if target.cold_left_s else 0.0
-        self._targets[target.instance] = KnownTarget(target, now, cold_until)
+        is_leaving = (
+            known is not None
+            and known.is_leaving
+            and known.target.started_ms == target.started_ms
+        )
+        self._targets[target.instance] = KnownTarget(
+            target, now, cold_until, is_leaving=is_leaving
+        )
         self._departed.pop(target.instance, None)
         self._drop_former_targets(target, now)
 
@@ -334,9 +374,15 @@
 
     def _index(self):
         self._by_service = {}
+        # Without its start a run can't be told from the next one.
+        self._leaving = [
+            (known.target.instance, known.target.started_ms)
+            for known in self._targets.values()
+            if known.is_leaving and known.target.started_ms
+        ]
         for known in self._targets.values():
             target = known.target
-            if target.is_draining or target.domain in self._evacuated:
+            if not known.takes_requests or target.domain in self._evacuated:
                 continue
             self._by_service.setdefault(target.service, []).append(known)
         self._domains = {
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -224,7 +224,7 @@
                     'domain': known.target.domain,
                     'running': parts.balancer.get_running(instance),
                     'avoided': parts.health.is_avoided(instance, now),
-                    'draining': known.target.is_draining,
+                    'draining': not known.takes_requests,
                     'cold_s': max(0.0, known.cold_until - now),
                     'limit': parts.target_limits.get_rate(instance),
                 }
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -300,6 +300,7 @@
         for fault in update.faults:
             self._handle_fault(fault, update.address, now)
         self._record_crash_reports(update, update.address, now)
+        self._record_leaving(update.leaving, update.address)
 
     def _handle_fault(self, fault, sender, now):
         try:
@@ -335,6 +336,14 @@
                 is_own_domain=is_own_domain,
             )
 
+    def _record_leaving(self, leaving, sender):
+        """Take over what targets have told other hosts about their end."""
+        for instance, started_ms in leaving:
+            if self._directory.mark_leaving(instance, started_ms):
+                eliot.log_message(
+                    'target_leaving', target=instance, sender=sender
+                )
+
     def _handle_digest(self, digest, data, sender, now):
         if digest.domain == self._fleet.domain:
             return
@@ -351,6 +360,7 @@
         self._record_crash_reports(
             digest, digest.origin, now, is_own_domain=False
         )
+        self._record_leaving(digest.leaving, digest.origin)
         if sender not in self._fleet.peers:
             for address in self._fleet.peers:
                 self._send(address, data)
@@ -415,6 +425,7 @@
             self._directory.position.era,
             crash_reports.answers,
             self._reaches_targets,
+            self._directory.leaving,
         )
 
     @property
@@ -503,6 +514,7 @@
                 self._directory.position.era,
                 crash_reports.answers,
                 self._choose_relays(),
+                self._directory.leaving,
             )
         )
         for domain in self._fleet.contacts:
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -78,7 +78,8 @@
     while they were limited. `answers` has the ages in seconds of answers to
     requests that were suspected of crashes, by digest. Unless the update
     `is_full`, unchanged counts and limits are left out. A host that
-    `reaches_targets` relays requests for those that do not.
+    `reaches_targets` relays requests for those that do not. `leaving` has the
+    instance and start of the targets that said that they leave.
     """
 
     address: str
@@ -100,6 +101,7 @@
     era: int = 0
     answers: dict[str, float] = {}
     reaches_targets: bool = True
+    leaving: list[tuple[str, int]] = []
 
     @property
     def position(self):
@@ -115,7 +117,8 @@
     some of the domain's hosts, `size` is the number of all. `outcomes` has
     the domain's requests and failures by service, `limits` the limits that
     targets stated, `answers` the ages of answers to suspected requests,
-    `relays` some hosts of the domain that reach the targets.
+    `relays` some hosts of the domain that reach the targets, `leaving` the
+    instance and start of the targets that said that they leave.
     """
 
     origin: str
@@ -131,6 +134,7 @@
     era: int = 0
     answers: dict[str, float] = {}
     relays: list[str] = []
+    leaving: list[tuple[str, int]] = []
 
     @property
     def position(self):
--- a/lavenderstile/edge/parsed_headers.py
+++ b/lavenderstile/edge/parsed_headers.py
@@ -42,7 +42,8 @@
 
     `is_signed` means that the response is from the target itself. `load` is
     the pair of running and waiting requests. `limit` is what the target states
-    about the rate that it takes.
+    about the rate that it takes. A target that `is_leaving` must get no more
+    requests.
     """
 
     request_id: str | None
@@ -54,3 +55,4 @@
     cold_s: float | None
     keep_alive_s: float | None
     limit: Limited | Unlimited | UnreadableLimit = Unlimited()
+    is_leaving: bool = False
--- a/lavenderstile/edge/path_tester.py
+++ b/lavenderstile/edge/path_tester.py
@@ -74,7 +74,7 @@
         targets = [
             known.target
             for known in self._directory.targets.values()
-            if not known.target.is_draining
+            if known.takes_requests
             and known.target.domain not in self._directory.evacuated
         ]
         return self._random.sample(targets, min(count, len(targets)))
--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -111,7 +111,7 @@
         Refuses the request if its key was withdrawn after admission.
         """
         current = self._directory.targets.get(known.target.instance)
-        if current is None or current.target.is_draining:
+        if current is None or not current.takes_requests:
             return 'target was removed or is draining'
         if known.target.domain in self._directory.evacuated:
             return 'failure domain was taken out of service'
@@ -247,6 +247,8 @@
                 instance, 'address belongs to another target'
             )
             return Rejected(f'{instance}: address belongs to another target')
+        if metadata.is_leaving:
+            self._record_leaving(target)
         self._target_limits.record(
             instance, metadata.limit, now - duration_s, now
         )
@@ -283,6 +285,14 @@
         )
         return Answered(response)
 
+    def _record_leaving(self, target):
+        """Send no more requests to a target that said that it leaves."""
+        if self._directory.mark_leaving(target.instance, target.started_ms):
+            eliot.log_message(
+                'target_leaving', target=target.instance, sender=None
+            )
+            self._reports.schedule_update()
+
     def _record_fault(self, instance, kind):
         """Record a fault of a target and report it to the domain.
 
--- a/lavenderstile/platform/headers.py
+++ b/lavenderstile/platform/headers.py
@@ -16,6 +16,7 @@
 LOAD = b'x-lavenderstile-server-load'
 WARMUP = b'x-lavenderstile-warmup-ms'
 LIMIT = b'server-limit'
+LEAVING = b'server-leaving'
 AUTHORIZATION = b'authorization'
 
 KEY_SCHEME = 'token'
@@ -101,6 +102,7 @@
             cold_s=_read_milliseconds(find_header(headers, WARMUP)),
             keep_alive_s=_read_keep_alive(find_header(headers, b'keep-alive')),
             limit=_read_limit(find_header(headers, LIMIT)),
+            is_leaving=find_header(headers, LEAVING) == b'1',
         )
 
     def filter_response_headers(self, headers):
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -54,6 +54,27 @@
         apply_events(found, 11, builders.make_target('i-1', is_draining=True))
         self.assertEqual(list_instances(found), set())
 
+    def test_a_target_that_says_that_it_leaves_gets_nothing(self):
+        """Guards against requests that are lost when the target ends.
+
+        Its entry may stay as it was, as while the registry is down.
+        """
+        found = builders.make_directory([builders.make_target('i-1')])
+        self.assertTrue(found.mark_leaving('i-1', 1))
+        self.assertFalse(found.mark_leaving('i-1', 1))
+        self.assertEqual(list_instances(found), set())
+        apply_events(found, 11, builders.make_target('i-1', sequence=2))
+        self.assertEqual(list_instances(found), set())
+        self.assertEqual(found.leaving, [('i-1', 1)])
+
+    def test_the_next_run_of_a_target_that_left_gets_requests(self):
+        found = builders.make_directory([builders.make_target('i-1')])
+        found.mark_leaving('i-1', 1)
+        apply_events(found, 11, builders.make_target('i-1', started_ms=2))
+        self.assertEqual(list_instances(found), {'i-1'})
+        self.assertFalse(found.mark_leaving('i-1', 1))
+        self.assertEqual(found.leaving, [])
+
     def test_a_target_of_an_evacuated_domain_gets_nothing(self):
         found = builders.make_directory(
             [
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -380,6 +380,39 @@
         self.assertEqual((len(first.seen), len(second.seen)), (0, 1))
 
 
+class LeavingTargetTest(edge_case.EdgeCase):
+    """Guards against requests to a target that has said that it leaves."""
+
+    async def test_it_gets_no_more_requests(self):
+        leaving = await self.add_target(standin.leave)
+        other = await self.add_target()
+        self.prefer(leaving)
+        status, _, _ = await self.request('/pay/1', b'x')
+        self.assertEqual((status, len(leaving.seen)), (200, 1))
+        for _ in range(5):
+            await self.request('/pay/1', b'x')
+        self.assertEqual((len(leaving.seen), len(other.seen)), (1, 5))
+
+    async def test_without_another_target_requests_are_refused(self):
+        leaving = await self.add_target(standin.leave)
+        await self.request('/pay/1', b'x')
+        status, _, body = await self.request(
+            '/pay/1',
+            b'x',
+            extra_headers=[('X-Lavenderstile-Deadline-Ms', '500')],
+        )
+        self.assertEqual(status, 503, body)
+        self.assertEqual(len(leaving.seen), 1)
+
+    async def test_the_domain_learns_of_it(self):
+        leaving = await self.add_target(standin.leave)
+        await self.request('/pay/1', b'x')
+        self.assertEqual(
+            [instance for instance, _ in self.parts.directory.leaving],
+            [leaving.instance],
+        )
+
+
 class UnexpectedErrorTest(edge_case.EdgeCase):
     """Guards against callers that an unexpected error leaves unanswered."""
 
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -6,6 +6,7 @@
 
 from lavenderstile import clocks
 from lavenderstile.edge import crash_guard
+from lavenderstile.edge import directory as directory_module
 from lavenderstile.edge import fleet
 from lavenderstile.edge import mesh
 from lavenderstile.edge import messages
@@ -154,3 +155,43 @@
         self.crash(1, self.now)
         later = self.now + crash_guard.REPEAT_S + 0.1
         self.assertEqual(self.guard.get_reports(later).crashes, [])
+
+
+class LeavingTargetTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a leaving target that only one host knows of.
+
+    Each other host would send it one request more, which may be lost.
+    """
+
+    def setUp(self):
+        self.subject, self.sent = make_mesh(1)
+        directory = self.subject._directory
+        events = ((11, builders.make_target('i-1', started_ms=5)),)
+        directory.apply_changes(directory_module.Changes(11, events), 0.0)
+        self.directory = directory
+
+    def receive(self, message):
+        data = messages.pack(message)
+        self.subject.datagram_received(data, ('10.1.1.0', 7))
+
+    def test_updates_and_digests_name_it(self):
+        self.directory.mark_leaving('i-1', 5)
+        self.assertEqual(self.subject._make_update().leaving, [('i-1', 5)])
+        self.subject._fleet.learn_contacts({'b': ['10.2.0.1']})
+        self.sent.clear()
+        self.subject._send_digests(1.0)
+        self.assertEqual(self.sent[0][0].leaving, [('i-1', 5)])
+
+    def test_what_hosts_of_the_domain_report_is_taken_over(self):
+        self.receive(builders.make_update('10.1.1.0', leaving=[('i-1', 5)]))
+        self.assertEqual(self.directory.list_targets('ledger'), ())
+
+    def test_what_another_domain_reports_is_taken_over(self):
+        self.receive(builders.make_digest(leaving=[('i-1', 5)]))
+        self.assertEqual(self.directory.list_targets('ledger'), ())
+
+    def test_another_run_and_unknown_targets_are_not_affected(self):
+        self.receive(
+            builders.make_update('10.1.1.0', leaving=[('i-1', 4), ('i-2', 5)])
+        )
+        self.assertEqual(len(self.directory.list_targets('ledger')), 1)
--- a/tests/platform_adapter/test_boundary.py
+++ b/tests/platform_adapter/test_boundary.py
@@ -11,7 +11,7 @@
 # name for each of them.
 NAMES = (
     r'x-lavenderstile-',
-    r'server-limit',
+    r'server-(limit|leaving)',
     r'kv-(key|range|watch)',
     r'op/(config|evacuate)',
     r'(?<![./\w])servers/',
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -109,6 +109,11 @@
         self.assertFalse(metadata.not_run)
         self.assertEqual(metadata.keep_alive_s, 7.0)
 
+    def test_a_target_says_that_it_leaves(self):
+        self.assertTrue(self.read(200, (headers.LEAVING, b'1')).is_leaving)
+        self.assertFalse(self.read(200, (headers.LEAVING, b'0')).is_leaving)
+        self.assertFalse(self.read(200).is_leaving)
+
     def test_responses_that_say_not_run(self):
         self.assertTrue(self.read(503, (headers.NOT_EXECUTED, b'1')).not_run)
         self.assertTrue(self.read(421).not_run)
