Hold the body of a request once

A body was held up to four times: joined from its parts, joined again with the head by writelines, and its unsent rest as a slice and in the buffer of the transport. The bound of 96 MiB counted it once, and relayed requests had a bound of their own.

A body is collected in one buffer and written in pieces of 64 KiB, as the target takes them; a response before the end of the body ends the upload and the connection. Large responses to callers are written without the joined copy and the slice. Relayed requests share the bound. Ruled out: a lower bound (maxBodyBytes is 64 MiB, which one upload may have).

--- a/lavenderstile/edge/callers.py
+++ b/lavenderstile/edge/callers.py
@@ -21,6 +21,9 @@
 # Limit for the request bodies of all connections together.
 MAX_BUFFERED_BYTES = 96 * 1024 * 1024
 
+# Up to this size the head and the body of a response are written together.
+_JOINED_BYTES = 64 * 1024
+
 # Colon, space and line end of a header line.
 _HEADER_EXTRA_BYTES = 4
 
@@ -118,13 +121,12 @@
     """One connection of a caller; its requests run one at a time, in order."""
 
     __slots__ = (
-        '_body_parts',
+        '_body',
         '_is_refused',
         '_linger_until',
         '_parser',
         '_request',
         '_server',
-        '_body_size',
         '_task',
         '_transport',
         'request_started_at',
@@ -137,8 +139,7 @@
         self._parser = None
         self._request = None
         self._task = None
-        self._body_parts = []
-        self._body_size = 0
+        self._body = bytearray()
         self._is_refused = False
         self._linger_until = None
         self.request_started_at = None
@@ -168,8 +169,7 @@
     def connection_lost(self, error):
         """Cancel the running request of a caller that has disconnected."""
         self._server.discard(self)
-        self._server.buffered_bytes -= self._body_size
-        self._body_size = 0
+        self._release_body()
         if self._task is not None:
             self._task.cancel()
 
@@ -209,10 +209,9 @@
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
             case h11.Data():
-                self._append_body(bytes(event.data))
+                self._append_body(event.data)
             case h11.EndOfMessage():
-                self._request.body = b''.join(self._body_parts)
-                self._body_parts = []
+                self._request.body = self._body
                 loop = asyncio.get_running_loop()
                 self._task = loop.create_task(self._run(self._request))
                 return False
@@ -224,16 +223,19 @@
         return True
 
     def _append_body(self, data):
-        self._body_parts.append(data)
-        self._body_size += len(data)
-        self._server.buffered_bytes += len(data)
-        if self._body_size > self._server.limits.body_bytes:
+        self._body += data
+        self._server.buffer.size += len(data)
+        if len(self._body) > self._server.limits.body_bytes:
             raise RequestError(413, 'request body is too large')
-        if self._server.buffered_bytes > MAX_BUFFERED_BYTES:
+        if self._server.buffer.size > MAX_BUFFERED_BYTES:
             raise RequestError(
                 503, 'request bodies exceed the buffer of the host'
             )
 
+    def _release_body(self):
+        self._server.buffer.size -= len(self._body)
+        self._body = bytearray()
+
     async def _run(self, request):
         try:
             response = await self._server.handle(request)
@@ -251,8 +253,7 @@
             self._transport.abort()
 
     def _send_response(self, response, request):
-        self._server.buffered_bytes -= self._body_size
-        self._body_size = 0
+        self._release_body()
         headers = list(response.headers)
         if self._server.is_stopping:
             headers.append((b'connection', b'close'))
@@ -292,7 +293,12 @@
                     continue
                 event = h11.Data(data=event)
             data.append(self._parser.send(event))
-        self._transport.writelines(data)
+        if sum(map(len, data)) <= _JOINED_BYTES:
+            self._transport.write(b''.join(data))
+            return
+        for piece in data:
+            # The transport copies the unsent rest of bytes twice.
+            self._transport.write(memoryview(piece))
 
     def _refuse(self, status, detail):
         """Send an error response before the request is complete, and close."""
@@ -340,16 +346,28 @@
             self._transport.close()
 
 
+class BodyBuffer:
+    """Size of the request bodies that listeners hold together, in bytes."""
+
+    __slots__ = ('size',)
+
+    def __init__(self):
+        self.size = 0
+
+
 class CallerServer:
-    """A listener for callers and its connections."""
+    """A listener for callers and its connections.
+
+    Listeners with the same `buffer` share the limit of their request bodies.
+    """
 
-    def __init__(self, clock, handler):
+    def __init__(self, clock, handler, buffer=None):
         self._clock = clock
         self._handler = handler
         self._connections = set()
         self._server = None
         self.limits = models.CallerLimits()
-        self.buffered_bytes = 0
+        self.buffer = buffer or BodyBuffer()
         self.is_stopping = False
 
     @property
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -184,9 +184,12 @@
         )
         self._mesh.apply_batch = self._watcher.apply_batch
         self._handler = handler_module.RequestHandler(self.parts)
-        self._callers = callers.CallerServer(self._clock, self._handler)
+        body_buffer = callers.BodyBuffer()
+        self._callers = callers.CallerServer(
+            self._clock, self._handler, body_buffer
+        )
         self._relayed = callers.CallerServer(
-            self._clock, relay_module.RelayHandler(self._handler)
+            self._clock, relay_module.RelayHandler(self._handler), body_buffer
         )
         self._version = None
         self._targets = frozenset()
--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -23,6 +23,9 @@
 
 _READ_BYTES = 64 * 1024
 
+# A longer body is written in pieces of this size, as the target reads them.
+_PIECE_BYTES = 64 * 1024
+
 # After a stall of the event loop a connect that has timed out may be complete;
 # it gets this time to be noticed.
 STALL_GRACE_S = 0.02
@@ -69,12 +72,14 @@
         '_response_head',
         '_closed',
         '_informational',
+        '_is_sent',
         '_loop',
         '_memory',
         '_parser',
         '_body_parts',
         '_request',
         '_body_size',
+        '_resumed',
         '_skipped',
         '_transport',
         '_waiter',
@@ -97,6 +102,8 @@
         self._body_parts = []
         self._body_size = 0
         self._informational = 0
+        self._is_sent = True
+        self._resumed = None
         self._skipped = 0
         self.created_at = now
         self.idle_since = now
@@ -137,16 +144,13 @@
         self._skipped = 0
         self._waiter = self._loop.create_future()
         self._start_parser()
-        data = [self._parser.send(request)]
-        if body:
-            data.append(self._parser.send(h11.Data(data=body)))
-        data.append(self._parser.send(h11.EndOfMessage()))
+        head = self._parser.send(request)
         if self._closed:
             raise ConnectionBroken(
                 'connection closed before the request', False
             )
-        self._transport.writelines(data)
         try:
+            await self._send(head, body)
             return await self._waiter
         except BaseException:
             self.close()
@@ -154,6 +158,38 @@
         finally:
             self._waiter = None
 
+    async def _send(self, head, body):
+        """Write a request; return early if its response is complete.
+
+        A body that the target reads slowly would otherwise be held several
+        times: the transport copies what it can't send.
+        """
+        if len(body) <= _PIECE_BYTES:
+            self._transport.write(head + body)
+            return
+        self._is_sent = False
+        self._transport.write(head)
+        rest = memoryview(body)
+        while rest and not self._waiter.done():
+            if self._resumed is None:
+                self._transport.write(rest[:_PIECE_BYTES])
+                rest = rest[_PIECE_BYTES:]
+            else:
+                await asyncio.wait(
+                    (self._waiter, self._resumed),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+        self._is_sent = not rest
+
+    def pause_writing(self):
+        """Hold back the rest of a body until the transport has room."""
+        self._resumed = self._loop.create_future()
+
+    def resume_writing(self):
+        """Send the rest of a body."""
+        self._resumed.set_result(None)
+        self._resumed = None
+
     def _start_parser(self):
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_READ_BYTES
@@ -246,6 +282,7 @@
             not trailing
             and not at_eof
             and self._parser.their_state is h11.DONE
+            and self._is_sent
             and self._transport.get_write_buffer_size() == 0
         )
         if not is_clean:
--- a/tests/edge/test_http_client.py
+++ b/tests/edge/test_http_client.py
@@ -125,3 +125,74 @@
             await http_client.open_connection(
                 *listener.getsockname(), 0.0, self.TIMEOUT_S
             )
+
+
+class LargeBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against uploads that are held several times."""
+
+    BODY_BYTES = 16 * 1024 * 1024
+
+    # What the transport may hold: its limit and one more piece.
+    MAX_PENDING_BYTES = 192 * 1024
+
+    async def connect(self, respond):
+        """Return a connection to a server with a small receive buffer."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
+        listener.bind(('127.0.0.1', 0))
+        port = listener.getsockname()[1]
+
+        async def serve(reader, writer):
+            self.addCleanup(writer.close)
+            await respond(reader, writer)
+
+        server = await asyncio.start_server(
+            serve, sock=listener, limit=32 * 1024
+        )
+        self.addCleanup(server.close)
+        connection = await http_client.open_connection(
+            '127.0.0.1', port, 0.0, 1.0
+        )
+        self.addCleanup(connection.close)
+        return connection
+
+    async def upload(self, connection, size):
+        """Send a body; return the response."""
+        request = h11.Request(
+            method='POST',
+            target='/x',
+            headers=[('Host', 'a'), ('Content-Length', str(size))],
+        )
+        async with asyncio.timeout(edge_case.LIMIT_S):
+            return await connection.exchange(request, bytes(size))
+
+    async def test_a_body_is_written_as_the_target_reads_it(self):
+        """Guards against a transport that copies a whole body."""
+        pending = []
+
+        async def respond(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            left = self.BODY_BYTES
+            while left:
+                left -= len(await reader.read(256 * 1024))
+                pending.append(transport.get_write_buffer_size())
+            writer.write(standin.render('x'))
+
+        connection = await self.connect(respond)
+        transport = connection._transport
+        response = await self.upload(connection, self.BODY_BYTES)
+        self.assertEqual(response.status, 200)
+        self.assertLess(max(pending), self.MAX_PENDING_BYTES)
+        self.assertTrue(connection.is_open)
+
+    async def test_an_early_response_ends_the_upload(self):
+        """Guards against a next request where the rest of a body is due."""
+
+        async def respond(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(standin.render('x', 413))
+
+        connection = await self.connect(respond)
+        response = await self.upload(connection, self.BODY_BYTES)
+        self.assertEqual(response.status, 413)
+        self.assertFalse(connection.is_open)
