Allow a target to pause its reading of a long body

TCP_USER_TIMEOUT of 1 s is meant for silent connections, but the kernel also ends a connection with it whose peer acknowledges everything and keeps its window closed.

Bodies over 8 KiB get the time of the whole exchange. They are mostly uploads, which aren't sent again, so that a silent connection found sooner would not serve them either. Ruled out: the time-out only while the transport holds bytes (the kernel's send buffer can hold the whole rest).

--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -11,6 +11,11 @@
 # is closed. Also detects a silent connection while new ones still work.
 UNACKNOWLEDGED_LIMIT_MS = 1000
 
+# A target may pause its reading while it works, and bytes that it has no room
+# for stay unacknowledged as well. Smaller bodies fit into its receive buffer;
+# larger ones get the time of the whole exchange.
+SMALL_BODY_BYTES = 8 * 1024
+
 # Larger responses fail the request, to bound the host's memory use.
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
@@ -123,19 +128,21 @@
     def connection_made(self, transport):
         """Set the time-out for unacknowledged bytes."""
         self._transport = transport
+        self._limit_unacknowledged(UNACKNOWLEDGED_LIMIT_MS)
+
+    def _limit_unacknowledged(self, limit_ms):
         self.get_socket().setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_LIMIT_MS,
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms
         )
 
     def get_socket(self):
         """Return the socket, for further options."""
         return self._transport.get_extra_info('socket')
 
-    async def exchange(self, request, body, accepts=None):
+    async def exchange(self, request, body, accepts=None, limit_s=0.0):
         """Send an h11 request and return the complete `HttpResponse`.
 
+        `limit_s` is the time that the caller of this method allows for it.
         Raises `ConnectionBroken`. Cancelling closes the connection.
         """
         self.uses += 1
@@ -149,9 +156,17 @@
             raise ConnectionBroken(
                 'connection closed before the request', False
             )
+        is_large = len(body) > SMALL_BODY_BYTES
         try:
+            if is_large:
+                self._limit_unacknowledged(
+                    max(UNACKNOWLEDGED_LIMIT_MS, int(limit_s * 1000))
+                )
             await self._send(head, body)
-            return await self._waiter
+            response = await self._waiter
+            if is_large and not self._closed:
+                self._limit_unacknowledged(UNACKNOWLEDGED_LIMIT_MS)
+            return response
         except BaseException:
             self.close()
             raise
--- a/lavenderstile/edge/relay.py
+++ b/lavenderstile/edge/relay.py
@@ -169,11 +169,13 @@
         if remaining_s <= 0:
             self._pools.release(host, connection, None)
             return NotRelayed('deadline reached')
+        limit_s = remaining_s + RESPONSE_MARGIN_S
         try:
-            async with asyncio.timeout(remaining_s + RESPONSE_MARGIN_S):
+            async with asyncio.timeout(limit_s):
                 response = await connection.exchange(
                     self._make_request(call, version, remaining_s),
                     call.request.body,
+                    limit_s=limit_s,
                 )
         except TimeoutError:
             self._pools.drop(host.instance)
--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -133,14 +133,16 @@
         timer = loop.call_later(
             threshold_s, self._record_slow_response, call, known, threshold_s
         )
+        limit_s = remaining_s + RESPONSE_MARGIN_S
         try:
-            async with asyncio.timeout(remaining_s + RESPONSE_MARGIN_S):
+            async with asyncio.timeout(limit_s):
                 response = await connection.exchange(
                     request,
                     call.request.body,
                     lambda response: self._is_matching_response(
                         call, connection, response
                     ),
+                    limit_s,
                 )
         except TimeoutError:
             self._pools.drop(target.instance)
