Answer 502 where a target's refusal does not prove that it has not run

Such a response is a failure that may have run now: an idempotent request is sent to another target, others are answered 502 without the target's signature, which stands for its status. 408 and 429 are not counted against the health of the target. Ruled out: the same status without the signature (the promise is in the status), and 502 with it (a signature beside another status is forbidden).

--- a/emulator/registered_target.py
+++ b/emulator/registered_target.py
@@ -57,6 +57,18 @@
     writer.write(render(request.request_id, headers=headers))
 
 
+def make_unproved_refusal(status):
+    """Return a behaviour that runs the request and sends a refusal.
+
+    The refusal doesn't say that the request has not run.
+    """
+
+    async def refuse(target, request, writer):
+        writer.write(render(request.request_id, status, b'failed'))
+
+    return refuse
+
+
 async def shed(target, request, writer):
     """Reject the request without running it."""
     headers = ['x-lavenderstile-not-executed: 1']
--- a/lavenderstile/edge/refusals.py
+++ b/lavenderstile/edge/refusals.py
@@ -22,6 +22,9 @@
     Reason.INTERNAL_ERROR: 503,
 }
 
+# Statuses that promise the caller that its request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 # Jitter of Retry-After, as a share of it, so that callers do not all retry at
 # the same time.
 RETRY_AFTER_JITTER = 0.5
--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -272,12 +272,17 @@
             return Failed(
                 FaultKind.SILENT, f'{instance}: status 504', response
             )
-        if response.status >= 500:
+        is_error = response.status >= 500
+        # Without the target's word that the request has not run, a status
+        # that promises this must not reach the caller, who would repeat it.
+        is_unproved = response.status in refusals.NOT_RUN_STATUSES
+        if is_error:
             self._record_fault(instance, FaultKind.ERROR)
+        if is_error or is_unproved:
             return Failed(
                 FaultKind.ERROR,
                 f'{instance}: status {response.status}',
-                response,
+                None if is_unproved else response,
             )
         self._guard.record_answer(call.digest, now)
         remote_load = self._balancer.record_load(instance, metadata.load, now)
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -207,6 +207,30 @@
         self.assertIn('retry-after', headers)
         self.assertEqual(sum(len(target.seen) for target in targets), 2)
 
+    async def test_an_unproved_refusal_of_a_target_does_not_say_not_run(self):
+        """Guards against an order that runs, and runs again when repeated.
+
+        A failing target may answer it with a status by which callers know
+        that a request has not run.
+        """
+        for status in (408, 429, 503):
+            with self.subTest(status=status):
+                self.remove_all_targets()
+                target = await self.add_target(
+                    standin.make_unproved_refusal(status)
+                )
+                got, headers, body = await self.request('/pay/1', b'x')
+                self.assertEqual((got, len(target.seen)), (502, 1))
+                self.assertNotIn('x-lavenderstile-server-signature', headers)
+                self.assertIn(b'may-have-run', body)
+
+    async def test_a_safe_request_is_sent_again_after_such_a_refusal(self):
+        failing = await self.add_target(standin.make_unproved_refusal(429))
+        other = await self.add_target()
+        self.prefer(failing)
+        status, _, _ = await self.request('/read/1')
+        self.assertEqual((status, len(other.seen)), (200, 1))
+
     async def test_a_refusal_after_a_run_does_not_say_not_run(self):
         first = await self.add_target(standin.reset)
         self.prefer(first)
