Let a call to the registry last while its response goes on arriving

The limit of 1 s is for the time without any bytes now, so that a lost response is detected as soon as before; a whole call has 20 s. Ruled out: a longer limit for the whole call, by which lost responses would be found too late, and one derived from the speed of the link, which a host doesn't know.

test_a_response_that_goes_on_is_read_to_its_end fails without the change (PlatformError after 1 s of 2 s) and passes.

--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -65,6 +65,10 @@
         self.body = body
 
 
+def _ignore():
+    """Do nothing."""
+
+
 class HttpConnection(asyncio.Protocol):
     """Carries one request at a time.
 
@@ -80,6 +84,7 @@
         '_is_sent',
         '_loop',
         '_memory',
+        '_on_progress',
         '_parser',
         '_body_parts',
         '_request',
@@ -102,6 +107,7 @@
         self._waiter = None
         self._closed = False
         self._accepts = None
+        self._on_progress = _ignore
         self._request = None
         self._response_head = None
         self._body_parts = []
@@ -139,14 +145,18 @@
         """Return the socket, for further options."""
         return self._transport.get_extra_info('socket')
 
-    async def exchange(self, request, body, accepts=None, limit_s=0.0):
+    async def exchange(
+        self, request, body, accepts=None, limit_s=0.0, on_progress=None
+    ):
         """Send an h11 request and return the complete `HttpResponse`.
 
         `limit_s` is the time that the caller of this method allows for it.
-        Raises `ConnectionBroken`. Cancelling closes the connection.
+        `on_progress()` is called when bytes of the response arrive. Raises
+        `ConnectionBroken`. Cancelling closes the connection.
         """
         self.uses += 1
         self._accepts = accepts
+        self._on_progress = on_progress or _ignore
         self._request = request
         self._skipped = 0
         self._waiter = self._loop.create_future()
@@ -223,6 +233,7 @@
         if self._waiter is None or self._waiter.done():
             self.close()
             return
+        self._on_progress()
         self._feed(data)
 
     def eof_received(self):
--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -19,10 +19,14 @@
 
 CONNECT_TIMEOUT_S = 0.5
 
-# Time limit of a call, in addition to the wait of a watch. The store usually
-# responds in milliseconds.
+# A call fails if no bytes of its response arrive for this time, in addition
+# to the wait of a watch. The store usually responds in milliseconds, but a
+# page of 1 MB takes seconds on a link of 5 Mbit/s.
 CALL_TIMEOUT_S = 1.0
 
+# Time limit of a whole call, in addition to the wait of a watch.
+LONGEST_CALL_S = 20.0
+
 # A connection carries no bytes while a watch waits, so only TCP keep-alive
 # detects a silent one: idle time and probe interval in seconds, and the number
 # of probes.
@@ -116,9 +120,17 @@
 
     async def _get(self, call, query, wait_s):
         url = f'/lavenderstile/{call}?{urllib.parse.urlencode(query)}'
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + wait_s + LONGEST_CALL_S
+        limit = asyncio.timeout(CALL_TIMEOUT_S + wait_s)
+
+        def extend_limit():
+            if not limit.expired():
+                limit.reschedule(min(loop.time() + CALL_TIMEOUT_S, latest))
+
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
-                response = await self._exchange(url)
+            async with limit:
+                response = await self._exchange(url, extend_limit)
         except (
             # Includes time-outs, and options that can't be set because the
             # connection has been reset already.
@@ -142,7 +154,7 @@
             eliot.log_message('registry_era', era=era, before=self._era)
             self._era = era
 
-    async def _exchange(self, url):
+    async def _exchange(self, url, on_progress):
         connection = self._connection
         if connection is None or not connection.is_open:
             connection = await http_client.open_connection(
@@ -154,7 +166,7 @@
         request = h11.Request(
             method='GET', target=url, headers=[('Host', host)]
         )
-        return await connection.exchange(request, b'')
+        return await connection.exchange(request, b'', on_progress=on_progress)
 
     def _close_connection(self):
         if self._connection is not None:
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from emulator import registry_store
 from lavenderstile import clocks
 from lavenderstile.edge import http_client
@@ -11,6 +13,55 @@
 from lavenderstile.platform import store as store_client
 
 
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against hosts that never get a large response of the store.
+
+    On a slow link it takes longer than a response that has been lost may.
+    """
+
+    PARTS = 5
+    PAUSE_S = 0.4
+
+    async def read_all(self, parts):
+        """Read a store that sends so many parts of its response."""
+        body = msgspec.json.encode(
+            {'items': [], 'hasMore': False, 'currentRev': 7}
+        ).ljust(1000)
+
+        async def respond(reader, writer):
+            self.addCleanup(writer.close)
+            await reader.readuntil(b'\r\n\r\n')
+            head = f'HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n'
+            writer.write(head.encode())
+            size = len(body) // self.PARTS
+            for number in range(parts):
+                writer.write(body[number * size : (number + 1) * size])
+                await asyncio.sleep(self.PAUSE_S)
+
+        server = await asyncio.start_server(respond, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        address = server.sockets[0].getsockname()
+        client = store_client.StoreClient(address, clocks.Clock())
+        async with asyncio.timeout(20.0):
+            return await client.read_all()
+
+    async def test_a_response_that_goes_on_is_read_to_its_end(self):
+        self.assertGreater(
+            self.PARTS * self.PAUSE_S, store_client.CALL_TIMEOUT_S
+        )
+        snapshot = await self.read_all(self.PARTS)
+        self.assertEqual(snapshot.revision, 7)
+
+    async def test_a_response_that_stops_is_a_failed_call(self):
+        with self.assertRaises(errors.PlatformError):
+            await self.read_all(self.PARTS - 1)
+
+    async def test_a_response_without_an_end_in_sight_is_a_failed_call(self):
+        with mock.patch.object(store_client, 'LONGEST_CALL_S', 0.5):
+            with self.assertRaises(errors.PlatformError):
+                await self.read_all(self.PARTS)
+
+
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Guards against faults of a connection that no caller expects.
 
