Let only targets of known services take over an address

The sound targets stayed out for good, as the registry reports no change when a target repeats its entry. Such an entry names no usable target and removes none now; the tests of the paths leave it out too, since two of them with dead addresses made a host count itself as cut off.

Ruled out: no removal at all (a request to a reused address costs a refusal of the other target, and its connections).

--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -174,6 +174,15 @@
         """Return the targets of a service that may get new requests."""
         return self._by_service.get(service, ())
 
+    def list_usable_targets(self):
+        """Return the targets of known services that may get new requests."""
+        return [
+            known.target
+            for service, targets in self._by_service.items()
+            if self._is_service_known(service)
+            for known in targets
+        ]
+
     def get_domains(self, service):
         """Return the failure domains with targets of a service in use."""
         return self._domains.get(service, frozenset())
@@ -310,7 +319,15 @@
             target, now, cold_until, is_leaving=is_leaving
         )
         self._departed.pop(target.instance, None)
-        self._drop_former_targets(target, now)
+        if self._is_service_known(target.service):
+            self._drop_former_targets(target, now)
+
+    def _is_service_known(self, service):
+        """Return whether the configuration, if there is one, has a service."""
+        return (
+            self._configuration is None
+            or service in self._configuration.services
+        )
 
     def _drop_former_targets(self, target, now):
         """Drop targets whose address and port now belong to a newer one."""
--- a/lavenderstile/edge/path_tester.py
+++ b/lavenderstile/edge/path_tester.py
@@ -71,12 +71,7 @@
             )
 
     def _choose(self, count):
-        targets = [
-            known.target
-            for known in self._directory.targets.values()
-            if known.takes_requests
-            and known.target.domain not in self._directory.evacuated
-        ]
+        targets = self._directory.list_usable_targets()
         return self._random.sample(targets, min(count, len(targets)))
 
     async def _test(self, target):
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -102,6 +102,23 @@
         self.assertEqual(list_instances(found), set())
         self.assertEqual(list_instances(found, 'archive'), {'i-2'})
 
+    def test_an_entry_of_an_unknown_service_removes_no_target(self):
+        """Guards against a foreign entry that names a sound target's address.
+
+        The target would get no more requests, as it has no reason to write its
+        entry again.
+        """
+        target = builders.make_target('i-1')
+        foreign = builders.make_target(
+            'i-9', port=target.port, service='elsewhere', started_ms=2
+        )
+        found = builders.make_directory([target])
+        apply_events(found, 11, foreign)
+        self.assertEqual(list_instances(found), {'i-1'})
+        found = builders.make_directory([target, foreign])
+        self.assertEqual(list_instances(found), {'i-1'})
+        self.assertEqual(found.list_usable_targets(), [target])
+
     def test_an_entry_of_an_earlier_start_is_ignored(self):
         found = builders.make_directory(
             [builders.make_target('i-1', started_ms=5)]
