Hold an entry of a departed target that is no newer than its last one

The age of a departed target's last entry was compared only after a restoration of the registry from an older copy.

Each entry of a departed target is compared now. One that is no newer is held for 6 s, in which the registry drops what no target repeats, and used then if it is still listed; a newer one, or a new start, is used at once. A held target doesn't return to an address that a newer one has taken over meanwhile. Ruled out: never using it (the registry reports no change when a live target only repeats its entry).

--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -19,6 +19,11 @@
 # the operator writes the latter again. Until then what the host knew counts.
 RESTORE_GRACE_S = 6.0
 
+# An entry of a target that has left, with nothing newer than before, may be a
+# write that the registry has done late. It drops such an entry after three
+# missed heartbeats; one that is listed for longer is of a live target.
+LATE_WRITE_HOLD_S = 6.0
+
 # Targets that have left are remembered for this time, which is longer than
 # the age of a copy from which the registry may be restored.
 DEPARTED_RETENTION_S = 60.0
@@ -44,6 +49,14 @@
         return not (self.target.is_draining or self.is_leaving)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldTarget:
+    """An entry of a target that had left, not used before `until`."""
+
+    target: models.Target
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """The whole content of the registry, read page by page.
@@ -208,34 +221,41 @@
             if is_restored
             else snapshot.evacuated
         )
-        targets = snapshot.targets
-        present = {target.instance for target in targets}
+        present = {target.instance for target in snapshot.targets}
         missing = [
             instance for instance in self._targets if instance not in present
         ]
         if is_restored:
-            targets = self._hold_departed(targets)
             self._keep_missing(missing, now)
         else:
-            self._held_targets = {}
             self._remove_all(missing, now)
-        for target in targets:
-            self._add_target(target, now)
+        self._held_targets = {
+            instance: held
+            for instance, held in self._held_targets.items()
+            if instance in present
+        }
+        for target in snapshot.targets:
+            self._add_unless_departed(target, now)
         self._position = models.Position(snapshot.era, snapshot.revision)
         self._index()
 
-    def _hold_departed(self, targets):
-        """Set aside entries of targets that had left; return the others."""
-        departed = {
-            target.instance: target
-            for target in targets
-            if target.instance in self._departed
-            and target.age_order <= self._departed[target.instance][0]
-        }
-        self._held_targets = departed
-        return [
-            target for target in targets if target.instance not in departed
-        ]
+    def _add_unless_departed(self, target, now):
+        """Add a target, or hold it if it had left when the entry was made."""
+        instance = target.instance
+        age_order, _ = self._departed.get(instance, (None, None))
+        # Without its start a target that begins anew can't be told apart.
+        is_departed = (
+            instance not in self._targets
+            and age_order is not None
+            and target.started_ms
+            and target.age_order <= age_order
+        )
+        if not is_departed:
+            self._held_targets.pop(instance, None)
+            self._add_target(target, now)
+        elif instance not in self._held_targets:
+            until = max(self._restore_grace_until, now + LATE_WRITE_HOLD_S)
+            self._held_targets[instance] = HeldTarget(target, until)
 
     def apply_changes(self, changes, now):
         """Apply the changes that are newer than the current revision.
@@ -253,8 +273,7 @@
                     self._update_configuration(event)
                 case models.Target():
                     removed.pop(event.instance, None)
-                    self._held_targets.pop(event.instance, None)
-                    self._add_target(event, now)
+                    self._add_unless_departed(event, now)
                 case TargetRemoved(instance):
                     self._held_targets.pop(instance, None)
                     removed[instance] = True
@@ -279,22 +298,24 @@
         for instance in expired:
             self._remove(instance, now)
         is_changed = bool(expired)
+        is_changed |= self._release_held(now)
         if now >= self._restore_grace_until:
-            is_changed |= self._end_restore_grace(now)
+            is_changed |= self._evacuated != self._listed_evacuated
+            self._evacuated = self._listed_evacuated
         if is_changed:
             self._index()
 
-    def _end_restore_grace(self, now):
-        """Follow the registry again; return whether this changes anything."""
-        is_changed = (
-            bool(self._held_targets)
-            or self._evacuated != self._listed_evacuated
-        )
-        for target in self._held_targets.values():
+    def _release_held(self, now):
+        """Add the held targets that are still listed; return if any."""
+        due = [
+            held.target
+            for held in self._held_targets.values()
+            if now >= held.until
+        ]
+        for target in due:
+            del self._held_targets[target.instance]
             self._add_target(target, now)
-        self._held_targets = {}
-        self._evacuated = self._listed_evacuated
-        return is_changed
+        return bool(due)
 
     def _update_configuration(self, configuration):
         if configuration is None:
@@ -319,8 +340,7 @@
             target, now, cold_until, is_leaving=is_leaving
         )
         self._departed.pop(target.instance, None)
-        if self._is_service_known(target.service):
-            self._drop_former_targets(target, now)
+        self._drop_former_targets((target.address, target.port), now)
 
     def _is_service_known(self, service):
         """Return whether the configuration, if there is one, has a service."""
@@ -329,17 +349,20 @@
             or service in self._configuration.services
         )
 
-    def _drop_former_targets(self, target, now):
+    def _drop_former_targets(self, endpoint, now):
         """Drop targets whose address and port now belong to a newer one."""
-        endpoint = (target.address, target.port)
-        former = [
-            known.target.instance
+        sharing = [
+            known.target
             for known in self._targets.values()
             if (known.target.address, known.target.port) == endpoint
-            and known.target.started_ms < target.started_ms
         ]
-        for instance in former:
-            self._remove(instance, now)
+        newest_ms = max(
+            target.started_ms if self._is_service_known(target.service) else 0
+            for target in sharing
+        )
+        for target in sharing:
+            if target.started_ms < newest_ms:
+                self._remove(target.instance, now)
 
     def _remove(self, instance, now):
         """Remove a target; remember the age of its last entry."""
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -177,6 +177,69 @@
         self.assertEqual(list_instances(self.found), set())
 
 
+class LateWriteTest(unittest.TestCase):
+    """Guards against a target that has left and is used again.
+
+    The registry may do one of its writes seconds late, when its entry has been
+    removed.
+    """
+
+    def setUp(self):
+        target = builders.make_target('i-0', sequence=5)
+        self.found = builders.make_directory([target])
+        apply_events(self.found, 11, directory.TargetRemoved('i-0'), now=95.0)
+
+    def write(self, revision, now, **changes):
+        """Apply an entry of the target."""
+        target = builders.make_target('i-0', **changes)
+        apply_events(self.found, revision, target, now=now)
+
+    def test_an_entry_from_before_its_end_is_not_used(self):
+        self.write(12, 96.0, sequence=4)
+        self.assertEqual(list_instances(self.found), set())
+        apply_events(self.found, 13, directory.TargetRemoved('i-0'), now=100.0)
+        self.found.expire(96.0 + directory.LATE_WRITE_HOLD_S)
+        self.assertEqual(list_instances(self.found), set())
+
+    def test_it_is_not_used_either_when_all_is_read_anew(self):
+        late = builders.make_target('i-0', sequence=5)
+        snapshot = directory.Snapshot(20, None, (late,), frozenset())
+        self.found.apply_snapshot(snapshot, 96.0)
+        self.assertEqual(list_instances(self.found), set())
+
+    def test_a_target_that_stays_listed_is_used_after_a_while(self):
+        self.write(12, 96.0, sequence=4)
+        self.found.expire(95.9 + directory.LATE_WRITE_HOLD_S)
+        self.assertEqual(list_instances(self.found), set())
+        self.found.expire(96.0 + directory.LATE_WRITE_HOLD_S)
+        self.assertEqual(list_instances(self.found), {'i-0'})
+
+    def test_a_newer_entry_is_used_at_once(self):
+        self.write(12, 96.0, sequence=4)
+        self.write(13, 96.5, sequence=6)
+        self.assertEqual(list_instances(self.found), {'i-0'})
+
+    def test_a_new_start_is_used_at_once(self):
+        self.write(12, 96.0, sequence=1, started_ms=2)
+        self.assertEqual(list_instances(self.found), {'i-0'})
+
+    def test_a_target_without_a_start_is_used_at_once(self):
+        found = builders.make_directory(
+            [builders.make_target('i-0', started_ms=0)]
+        )
+        apply_events(found, 11, directory.TargetRemoved('i-0'))
+        apply_events(found, 12, builders.make_target('i-0', started_ms=0))
+        self.assertEqual(list_instances(found), {'i-0'})
+
+    def test_a_held_target_does_not_return_to_a_reused_address(self):
+        self.write(12, 96.0, sequence=4)
+        port = builders.make_target('i-0').port
+        newer = builders.make_target('i-9', port=port, started_ms=2)
+        apply_events(self.found, 13, newer, now=97.0)
+        self.found.expire(96.0 + directory.LATE_WRITE_HOLD_S)
+        self.assertEqual(list_instances(self.found), {'i-9'})
+
+
 class RestoredRegistryTest(unittest.TestCase):
     """Guards against a return to the state of an older copy.
 
