End an outage of the registry when the peers that watch it reach it again

A host that is no watcher makes no call after an outage, as its peers answer for the registry; its next call, when it takes over, took the whole time since for the outage and began a grace period, in which lapsed entries of more than 40% of a service stay in use.

Such a host ends the outage when a peer has had a response after this host's last failed call. The grace period then begins when the registry is back, also at the hosts that learn of its changes from peers. Ruled out: no grace period at a first call after a pause (that is the case it was made for, at watchers).

--- a/lavenderstile/edge/registry.py
+++ b/lavenderstile/edge/registry.py
@@ -65,6 +65,7 @@
         self._metrics = metrics
         self._on_change = on_change
         self._failing_since = None
+        self._failed_at = float('-inf')
         self._failures = 0
         self._is_synchronized = False
 
@@ -92,6 +93,7 @@
                 elif self._is_behind():
                     await self._watch(0.0)
                 else:
+                    self._note_peer_contact()
                     await asyncio.sleep(IDLE_POLL_INTERVAL_S)
             except HistoryLost:
                 position = self._directory.position
@@ -159,6 +161,20 @@
     def _note_success(self):
         self._metrics.count_registry_call('ok')
         self._watcher_selection.record_contact(self._clock.now())
+        self._end_outage()
+
+    def _note_peer_contact(self):
+        """End an outage that is over for the peers that watch the registry.
+
+        Otherwise this host's next call, perhaps much later, would seem to end
+        it, and targets that leave then would stay in use for a while.
+        """
+        if self._failing_since is None:
+            return
+        if self._watcher_selection.peer_contact_at > self._failed_at:
+            self._end_outage()
+
+    def _end_outage(self):
         failing_since = self._failing_since
         self._failures = 0
         if failing_since is None:
@@ -173,6 +189,7 @@
 
     async def _back_off(self, error):
         self._metrics.count_registry_call('failed')
+        self._failed_at = self._clock.now()
         if self._failing_since is None:
             self._failing_since = self._clock.now()
             eliot.log_message('registry_lost', error=str(error))
--- a/lavenderstile/edge/watcher_selection.py
+++ b/lavenderstile/edge/watcher_selection.py
@@ -56,6 +56,14 @@
         """Time of the last response of the registry to this host."""
         return self._registry_contact_at
 
+    @property
+    def peer_contact_at(self):
+        """Time of the last response of the registry to a peer."""
+        return max(
+            (peer.registry_contact_at for peer in self._fleet.peers.values()),
+            default=float('-inf'),
+        )
+
     def record_contact(self, now):
         """Record a response of the registry to this host."""
         if self._registry_contact_at == float('-inf'):
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -329,6 +329,36 @@
         now = self.clock.now()
         self.assertEqual(self.watcher_selection.should_watch(now), is_watcher)
 
+    async def test_an_outage_ends_when_peers_reach_the_registry(self):
+        """Guards against an outage that a host sees end much later.
+
+        A host that is no watcher makes no call after the outage. Its next
+        call, when it takes over, would begin a grace period, in which targets
+        that have left stay in use.
+        """
+        addresses = [f'10.1.0.{number}' for number in range(2, 50)]
+        ahead = [
+            address
+            for address in addresses
+            if watcher_selection.hashing.rank(
+                'registry', [address, '10.1.0.1']
+            )[0]
+            == address
+        ]
+        self.put_configuration(3)
+        self.start()
+        await self.wait_until(lambda: self.directory.configuration)
+        self.store.mode = 'busy'
+        await self.wait_until(lambda: self.watcher.failing_since)
+
+        def receive_and_check():
+            for address in ahead[: watcher_selection.WATCHERS]:
+                self.receive_update(address)
+            return self.watcher.failing_since is None
+
+        await self.wait_until(receive_and_check)
+        self.assertEqual(self.store.mode, 'busy')
+
 
 class ObjectTest(unittest.TestCase):
     """Guards against fields of a configuration that are misread."""
