Send nothing to a target during the pause that it asks for

The host keeps the end of the pause with the run of the target, in the new module pauses.py; of several the latest end counts. The balancer leaves the target out, as one that has reached its limit: a request that no other target can serve in its time is refused at once, with a Retry-After from the earliest end, and waits for a short pause. A pause has at most an hour. Ruled out: telling other hosts (a pause is between one host and one target).

--- a/emulator/registered_target.py
+++ b/emulator/registered_target.py
@@ -75,6 +75,19 @@
     writer.write(render(request.request_id, 503, b'', headers))
 
 
+def make_shed_with_pause(pause_s):
+    """Return a behaviour that rejects a request and asks for a pause."""
+
+    async def shed_with_pause(target, request, writer):
+        headers = [
+            'x-lavenderstile-not-executed: 1',
+            f'retry-after: {pause_s}',
+        ]
+        writer.write(render(request.request_id, 503, b'', headers))
+
+    return shed_with_pause
+
+
 async def misdirect(target, request, writer):
     """Reject the request because the address belongs to another target."""
     writer.write(render(request.request_id, 421, b''))
--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -109,6 +109,7 @@
         '_health',
         '_outcomes',
         '_own_running',
+        '_pauses',
         '_random',
         '_remote_load',
         '_target_limits',
@@ -122,6 +123,7 @@
         health,
         outcomes,
         target_limits,
+        pauses,
         floor_share,
         rng=None,
     ):
@@ -129,6 +131,7 @@
         self._fleet = fleet
         self._health = health
         self._target_limits = target_limits
+        self._pauses = pauses
         self._outcomes = outcomes
         self._floor_share = floor_share
         self._used_at = {}
@@ -280,7 +283,10 @@
                 )
             ):
                 continue
-            limit_wait_s = self._target_limits.get_wait(target, now)
+            limit_wait_s = max(
+                self._target_limits.get_wait(target, now),
+                self._pauses.get_wait(target, now),
+            )
             if limit_wait_s:
                 shortest_full_wait_s = min(shortest_full_wait_s, limit_wait_s)
                 continue
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -24,6 +24,7 @@
 from . import outcomes as outcomes_module
 from . import path_tester
 from . import paths as paths_module
+from . import pauses as pauses_module
 from . import rate_limits as rate_limits_module
 from . import registry
 from . import relay as relay_module
@@ -72,6 +73,7 @@
         'outcomes',
         'path_tester',
         'paths',
+        'pauses',
         'pools',
         'rate_limits',
         'relay',
@@ -99,12 +101,14 @@
         self.target_limits = target_limits_module.TargetLimits(
             self.directory, self.fleet
         )
+        self.pauses = pauses_module.TargetPauses()
         self.balancer = balancing.Balancer(
             self.directory,
             self.fleet,
             self.health,
             self.outcomes,
             self.target_limits,
+            self.pauses,
             settings.limits.floor_share,
         )
         self.budgets = budgets_module.Budgets(settings.limits, clock.now())
@@ -230,6 +234,7 @@
                     'draining': not known.takes_requests,
                     'cold_s': max(0.0, known.cold_until - now),
                     'limit': parts.target_limits.get_rate(instance),
+                    'paused_s': parts.pauses.get_wait(known.target, now),
                 }
                 for instance, known in parts.directory.targets.items()
             },
@@ -274,6 +279,7 @@
             self.parts.health.keep(targets)
             self.parts.balancer.keep(targets)
             self.parts.target_limits.keep(targets)
+            self.parts.pauses.keep(targets)
 
     async def run(self):
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
--- a/lavenderstile/edge/parsed_headers.py
+++ b/lavenderstile/edge/parsed_headers.py
@@ -43,7 +43,7 @@
     `is_signed` means that the response is from the target itself. `load` is
     the pair of running and waiting requests. `limit` is what the target states
     about the rate that it takes. A target that `is_leaving` must get no more
-    requests.
+    requests, one that names a `pause_s` none from this host for so long.
     """
 
     request_id: str | None
@@ -56,3 +56,4 @@
     keep_alive_s: float | None
     limit: Limited | Unlimited | UnreadableLimit = Unlimited()
     is_leaving: bool = False
+    pause_s: float | None = None
--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -48,6 +48,7 @@
         self._health = parts.health
         self._pools = parts.pools
         self._paths = parts.paths
+        self._pauses = parts.pauses
         self._path_tester = parts.path_tester
         self._target_limits = parts.target_limits
         self._guard = parts.guard
@@ -115,6 +116,8 @@
             return 'target was removed or is draining'
         if known.target.domain in self._directory.evacuated:
             return 'failure domain was taken out of service'
+        if self._pauses.get_wait(current.target, self._clock.now()):
+            return 'target has asked for a pause'
         configuration = self._directory.configuration
         if (
             call.workspace is not None
@@ -251,6 +254,8 @@
             return Rejected(f'{instance}: address belongs to another target')
         if metadata.is_leaving:
             self._record_leaving(target)
+        if metadata.pause_s is not None:
+            self._record_pause(target, metadata.pause_s)
         self._target_limits.record(
             instance, metadata.limit, now - duration_s, now
         )
@@ -300,6 +305,13 @@
             )
             self._reports.schedule_update()
 
+    def _record_pause(self, target, pause_s):
+        """Send nothing for a while to a target that turned a request away."""
+        if self._pauses.record(target, pause_s, self._clock.now()):
+            eliot.log_message(
+                'target_paused', target=target.instance, pause_s=pause_s
+            )
+
     def _record_fault(self, instance, kind):
         """Record a fault of a target and report it to the domain.
 
--- a/lavenderstile/platform/headers.py
+++ b/lavenderstile/platform/headers.py
@@ -2,8 +2,7 @@
 
 import math
 
-import eliot
-
+from .. import header_values
 from .. import headers as header_tools
 from ..edge import parsed_headers
 
@@ -17,17 +16,14 @@
 WARMUP = b'x-lavenderstile-warmup-ms'
 LIMIT = b'server-limit'
 LEAVING = b'server-leaving'
+RETRY_AFTER = b'retry-after'
 AUTHORIZATION = b'authorization'
 
 KEY_SCHEME = 'token'
 
-# Digits of the numbers in headers. More can't be converted to a float, or
-# don't fit the messages between hosts.
-MAX_TIME_DIGITS = 12
+# Digits of a load. More don't fit the messages between hosts.
 MAX_LOAD_DIGITS = 6
 
-MAX_LOGGED_TEXT = 40
-
 # Headers of callers that are not forwarded: the host sets its own, and the API
 # key must not reach targets.
 _NOT_FORWARDED_TO_TARGETS = frozenset(
@@ -64,7 +60,7 @@
             )
         return parsed_headers.ParsedRequestHeaders(
             _get_text(values, ATTEMPT_ID),
-            _read_milliseconds(values.get(DEADLINE, (None,))[0]),
+            header_values.parse_milliseconds(values.get(DEADLINE, (None,))[0]),
             _read_key(_get_text(values, AUTHORIZATION)),
         )
 
@@ -99,10 +95,19 @@
             or status == 421,
             wrong_instance=status == 421,
             load=_read_load(find_header(headers, LOAD)),
-            cold_s=_read_milliseconds(find_header(headers, WARMUP)),
-            keep_alive_s=_read_keep_alive(find_header(headers, b'keep-alive')),
+            cold_s=header_values.parse_milliseconds(
+                find_header(headers, WARMUP)
+            ),
+            keep_alive_s=header_values.parse_keep_alive(
+                find_header(headers, b'keep-alive')
+            ),
             limit=_read_limit(find_header(headers, LIMIT)),
             is_leaving=find_header(headers, LEAVING) == b'1',
+            pause_s=header_values.parse_seconds(
+                find_header(headers, RETRY_AFTER)
+            )
+            if status == 503
+            else None,
         )
 
     def filter_response_headers(self, headers):
@@ -119,24 +124,6 @@
     return texts[0].decode('latin-1') if texts else None
 
 
-def _read_number(value, max_digits):
-    """Return the whole number in a header's value, or None."""
-    if value.isdigit() and len(value) <= max_digits:
-        return int(value)
-    eliot.log_message(
-        'header_unreadable', text=value[:MAX_LOGGED_TEXT].decode('latin-1')
-    )
-    return None
-
-
-def _read_milliseconds(value):
-    """Return a time in seconds, or None."""
-    if not value:
-        return None
-    number = _read_number(value, MAX_TIME_DIGITS)
-    return None if number is None else number / 1000
-
-
 def _read_key(text):
     if text is None:
         return None
@@ -152,8 +139,10 @@
         return None
     running, _, others = value.partition(b',')
     counts = (
-        _read_number(running.strip(), MAX_LOAD_DIGITS),
-        _read_number(others.partition(b',')[0].strip(), MAX_LOAD_DIGITS),
+        header_values.parse_count(running.strip(), MAX_LOAD_DIGITS),
+        header_values.parse_count(
+            others.partition(b',')[0].strip(), MAX_LOAD_DIGITS
+        ),
     )
     return None if None in counts else counts
 
@@ -169,12 +158,3 @@
     if not 0 <= rate < math.inf:
         return parsed_headers.UnreadableLimit(value.decode('latin-1'))
     return parsed_headers.Limited(rate)
-
-
-def _read_keep_alive(value):
-    """Return the idle time-out of a target's connection, in seconds."""
-    for part in (value or b'').split(b','):
-        name, _, text = part.strip().partition(b'=')
-        if name.lower() == b'timeout':
-            return _read_number(text, MAX_TIME_DIGITS)
-    return None
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -8,6 +8,7 @@
 from lavenderstile.edge import messages
 from lavenderstile.edge import models
 from lavenderstile.edge import outcomes
+from lavenderstile.edge import pauses
 from lavenderstile.edge import target_limits
 
 
@@ -121,6 +122,7 @@
         self.target_limits = target_limits.TargetLimits(
             self.directory, self.fleet
         )
+        self.pauses = pauses.TargetPauses()
         for target in targets:
             self.health.add(target.instance, False, now)
         self.balancer = balancing.Balancer(
@@ -129,6 +131,7 @@
             self.health,
             self.outcomes,
             self.target_limits,
+            self.pauses,
             0.7,
             rng,
         )
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -114,6 +114,24 @@
         self.assertFalse(self.read(200, (headers.LEAVING, b'0')).is_leaving)
         self.assertFalse(self.read(200).is_leaving)
 
+    def test_a_target_that_is_busy_asks_for_a_pause(self):
+        for value, pause_s in (
+            (b'3', 3.0),
+            (b'0.25', 0.25),
+            (b'0', 0.0),
+            (b'', None),
+            (b'-1', None),
+            (b'.5', None),
+            (b'1.x', None),
+            (b'1e9', None),
+            (b'inf', None),
+            (b'9' * 400, None),
+        ):
+            with self.subTest(value=value[:10]):
+                pair = (headers.RETRY_AFTER, value)
+                self.assertEqual(self.read(503, pair).pause_s, pause_s)
+                self.assertIsNone(self.read(200, pair).pause_s)
+
     def test_responses_that_say_not_run(self):
         self.assertTrue(self.read(503, (headers.NOT_EXECUTED, b'1')).not_run)
         self.assertTrue(self.read(421).not_run)
