Use another address of the registry when the settings change

The watcher gets a client for the new address, which it uses from its next call on, and closes the former one. The position in the history stays: a registry that lacks it says so, and is read anew. Ruled out: a restart of the process, which costs its requests.

--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -168,6 +168,7 @@
 
     def __init__(self, load_settings, header_codec, make_client):
         self._load_settings = load_settings
+        self._make_client = make_client
         self._settings = load_settings()
         self._clock = clocks.Clock()
         started_ms = int(self._clock.unix() * 1000)
@@ -335,7 +336,14 @@
             eliot.log_message('settings_kept', error=str(error))
             return
         if settings != self._settings:
-            eliot.log_message('settings_reloaded', seeds=settings.seeds)
+            eliot.log_message(
+                'settings_reloaded',
+                seeds=settings.seeds,
+                registry=settings.registry,
+            )
+            if settings.registry != self._settings.registry:
+                client = self._make_client(settings, self._clock)
+                self._watcher.use_client(client)
             self._settings = settings
             self._mesh.apply_settings(settings)
 
--- a/lavenderstile/edge/registry.py
+++ b/lavenderstile/edge/registry.py
@@ -37,8 +37,8 @@
     """Keeps a directory up to date; never writes to the registry.
 
     `client` has `read_all()` and `watch(revision, wait_s)`, which raise
-    `errors.PlatformError` and `HistoryLost`, and
-    `decode_changes(body, era)`.
+    `errors.PlatformError` and `HistoryLost`, `decode_changes(body, era)` and
+    `close()`.
     `watcher_selection` decides whether this host calls the registry.
     `on_change()` is called after each change of the directory.
     `broadcast_changes(after, changes)` sends changes to the peers, and
@@ -57,6 +57,7 @@
         announce,
     ):
         self._client = client
+        self._next_client = None
         self._watcher_selection = watcher_selection
         self._broadcast_changes = broadcast_changes
         self._announce = announce
@@ -79,10 +80,20 @@
         """Time of the first call of the current failures, or None."""
         return self._failing_since
 
+    def use_client(self, client):
+        """Use another client from the next call on."""
+        self._next_client = client
+
+    def _switch_client(self):
+        if self._next_client is not None:
+            self._client.close()
+            self._client, self._next_client = self._next_client, None
+
     async def run(self):
         """Watch the registry until cancelled."""
         needs_all = True
         while True:
+            self._switch_client()
             try:
                 if needs_all:
                     await self._read_all()
--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -138,7 +138,7 @@
             http_client.ConnectError,
             http_client.ConnectionBroken,
         ) as error:
-            self._close_connection()
+            self.close()
             raise errors.PlatformError(f'{call}: {error!r}') from error
         self._note_era(response.headers)
         if response.status == 410:
@@ -168,7 +168,8 @@
         )
         return await connection.exchange(request, b'', on_progress=on_progress)
 
-    def _close_connection(self):
+    def close(self):
+        """Close the connection; the next call opens another."""
         if self._connection is not None:
             self._connection.close()
             self._connection = None
--- a/tests/edge/test_host.py
+++ b/tests/edge/test_host.py
@@ -5,6 +5,25 @@
 from unittest import mock
 
 from lavenderstile.edge import host
+from tests.edge import edge_case
+
+
+class ReloadTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against changed settings that only a part of the host uses."""
+
+    async def test_another_address_of_the_registry_is_used(self):
+        current = [edge_case.make_settings()]
+        clients = []
+
+        def make_client(loaded, clock):
+            clients.append(loaded.registry)
+            return mock.Mock()
+
+        subject = host.Host(lambda: current[0], None, make_client)
+        current[0] = edge_case.make_settings(registry=('127.0.0.1', 2))
+        subject._reload()
+        subject._reload()
+        self.assertEqual(clients, [('127.0.0.1', 1), ('127.0.0.1', 2)])
 
 
 class BackgroundTaskTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -246,6 +246,29 @@
             await self.watcher._read_all()
 
 
+class MovedRegistryTest(WatcherCase):
+    """Guards against a host that stays with a former address for good."""
+
+    async def test_changes_are_read_from_the_new_address(self):
+        self.put_configuration(3)
+        self.start()
+        await self.wait_until(lambda: self.directory.configuration)
+        other = await self.enterAsyncContext(
+            registry_store.serve_store(self.store)
+        )
+        host, _, port = other.rpartition(':')
+        client = store_client.StoreClient((host, int(port)), self.clock)
+        former = self.watcher._client
+        self.watcher.use_client(client)
+        self.put_configuration(5)
+        await self.wait_until(lambda: self.watcher._client is client)
+        self.assertIsNone(former._connection)
+        self.put_configuration(6)
+        await self.wait_until(
+            lambda: self.directory.configuration.version == 6
+        )
+
+
 class SharingTest(WatcherCase):
     """Guards against 48 hosts that all watch the registry themselves."""
 
