Parse bodies of many small chunks in steps

A step parses 100 events now, with the reading paused, and lets other tasks run; a response with more than 4,096 chunks of less than 16 bytes on average is given up, since it would take most of the processor until its deadline. Bodies of callers have no such limit, as theirs is the deadline of the request. Ruled out: smaller reads (a read of 64 KB still holds 10,000 chunks).

--- a/emulator/endless_targets.py
+++ b/emulator/endless_targets.py
@@ -38,6 +38,12 @@
     await _send_endlessly(writer, head, chunk)
 
 
+async def endless_small_chunks(target, request, writer):
+    """Send a body in chunks of one byte without end."""
+    head = SIGNED_HEAD + b'transfer-encoding: chunked\r\n\r\n'
+    await _send_endlessly(writer, head, b'1\r\nx\r\n' * 10_000)
+
+
 async def endless_body(target, request, writer):
     """Send a body without a length and without end."""
     await _send_endlessly(writer, SIGNED_HEAD + b'\r\n', b'x' * 0x10000)
@@ -73,6 +79,7 @@
     behaviour.__name__: behaviour
     for behaviour in (
         endless_chunks,
+        endless_small_chunks,
         endless_body,
         endless_head,
         endless_line,
--- a/lavenderstile/edge/callers.py
+++ b/lavenderstile/edge/callers.py
@@ -7,6 +7,7 @@
 import eliot
 import h11
 
+from . import http_client
 from . import models
 
 # TCP_USER_TIMEOUT: a connection whose bytes stay unacknowledged for this long
@@ -188,14 +189,24 @@
         return False
 
     def _process_events(self):
+        """Parse some of the received bytes; let other tasks run in between."""
         try:
-            while self._handle_event(self._parser.next_event()):
-                pass
+            for _ in range(http_client.EVENTS_PER_STEP):
+                if not self._handle_event(self._parser.next_event()):
+                    self._transport.resume_reading()
+                    return
+            self._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._process_more_events)
         except h11.RemoteProtocolError as error:
             self._refuse(error.error_status_hint, str(error))
         except RequestError as error:
             self._refuse(error.status, str(error))
 
+    def _process_more_events(self):
+        if not (self._is_refused or self._transport.is_closing()):
+            self._process_events()
+
     def _handle_event(self, event):
         match event:
             case h11.Request():
--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -26,6 +26,15 @@
 # them without end would otherwise keep the event loop busy.
 MAX_INFORMATIONAL_RESPONSES = 8
 
+# A body may have so many chunks, and one more for each of these bytes. A
+# target that sends tiny ones without end would take most of the processor.
+MAX_SMALL_CHUNKS = 4096
+MEAN_CHUNK_BYTES = 16
+
+# Events of the parser in one step of the event loop, which takes milliseconds.
+# One read can hold tens of thousands of chunks.
+EVENTS_PER_STEP = 100
+
 _READ_BYTES = 64 * 1024
 
 # A longer body is written in pieces of this size, as the target reads them.
@@ -87,6 +96,8 @@
         '_on_progress',
         '_parser',
         '_body_parts',
+        '_chunks',
+        '_is_at_end',
         '_request',
         '_body_size',
         '_resumed',
@@ -112,7 +123,9 @@
         self._response_head = None
         self._body_parts = []
         self._body_size = 0
+        self._chunks = 0
         self._informational = 0
+        self._is_at_end = False
         self._is_sent = True
         self._resumed = None
         self._skipped = 0
@@ -225,6 +238,7 @@
 
     def _clear_body(self):
         self._body_parts = []
+        self._chunks = 0
         self._body_size = 0
         self._memory.release(self)
 
@@ -238,6 +252,7 @@
 
     def eof_received(self):
         """Parse the end of the stream, which may end a response."""
+        self._is_at_end = True
         if self._waiter is not None and not self._waiter.done():
             self._feed(b'')
         return False
@@ -252,16 +267,29 @@
             self.give_up(f'connection lost: {error!r}', peer_closed)
 
     def _feed(self, data):
+        self._parser.receive_data(data)
+        self._parse()
+
+    def _parse(self):
+        """Parse some of the received bytes; let other tasks run in between."""
         try:
-            self._parser.receive_data(data)
-            while self._handle_event(self._parser.next_event()):
-                if self._closed:
+            for _ in range(EVENTS_PER_STEP):
+                event = self._parser.next_event()
+                if not self._handle_event(event) or self._closed:
+                    self._transport.resume_reading()
                     return
         except h11.RemoteProtocolError as error:
             self.give_up(
                 f'response is malformed or truncated: {error}',
-                peer_closed=not data,
+                peer_closed=self._is_at_end,
             )
+            return
+        self._transport.pause_reading()
+        self._loop.call_soon(self._parse_more)
+
+    def _parse_more(self):
+        if self._waiter is not None and not self._waiter.done():
+            self._parse()
 
     def _handle_event(self, event):
         match event:
@@ -290,6 +318,11 @@
         if self._body_size > MAX_RESPONSE_BYTES:
             self.give_up('response is too large')
             return False
+        self._chunks += 1
+        allowed = MAX_SMALL_CHUNKS + self._body_size // MEAN_CHUNK_BYTES
+        if self._chunks > allowed:
+            self.give_up('response has too many small chunks')
+            return False
         self._memory.add(self, len(data))
         return True
 
--- a/tests/edge/test_callers.py
+++ b/tests/edge/test_callers.py
@@ -89,6 +89,27 @@
         self.assertTrue(response.startswith(b'HTTP/1.1 200'), response)
         self.assertEqual(target.seen[0].body, b'abcde')
 
+    async def test_small_chunks_do_not_occupy_the_event_loop(self):
+        """Guards against a body whose parsing delays all other requests."""
+        await self.add_target()
+        body = b'1\r\nx\r\n' * 60_000 + b'0\r\n\r\n'
+        loop = asyncio.get_running_loop()
+        lag_s = 0.0
+        async with self.connect() as caller:
+            caller.writer.write(
+                HEAD
+                + b'Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n'
+                + body
+            )
+            reading = asyncio.create_task(caller.read_to_end())
+            while not reading.done():
+                due = loop.time()
+                await asyncio.sleep(0)
+                lag_s = max(lag_s, loop.time() - due)
+            response = await reading
+        self.assertTrue(response.startswith(b'HTTP/1.1 200'), response[:80])
+        self.assertLess(lag_s, 0.25)
+
     async def test_the_absolute_form_is_accepted(self):
         target = await self.add_target()
         response = await self.send_raw(
