Don't take changes that come again for the departure of a target

The walk of the directory (test_model_check) failed since entries of departed targets are held: a registry that returns to an earlier state without saying so lacks targets for a moment, or removes an earlier run of one, and their entries come again as they were. Departures are only noted above the revision that was known before such a state, so that a late write is held as before.

--- a/lavenderstile/edge/directory.py
+++ b/lavenderstile/edge/directory.py
@@ -119,6 +119,7 @@
         '_leaving',
         '_listed_evacuated',
         '_position',
+        '_replayed_until',
         '_restore_grace_until',
         '_targets',
     )
@@ -135,6 +136,7 @@
         self._held_targets = {}
         self._leaving = []
         self._listed_evacuated = frozenset()
+        self._replayed_until = 0
         self._restore_grace_until = 0.0
 
     @property
@@ -225,10 +227,11 @@
         missing = [
             instance for instance in self._targets if instance not in present
         ]
+        self._note_replay(snapshot)
         if is_restored:
             self._keep_missing(missing, now)
         else:
-            self._remove_all(missing, now)
+            self._remove_all(missing, snapshot.revision, now)
         self._held_targets = {
             instance: held
             for instance, held in self._held_targets.items()
@@ -239,6 +242,17 @@
         self._position = models.Position(snapshot.era, snapshot.revision)
         self._index()
 
+    def _note_replay(self, snapshot):
+        """Note up to which revision the changes of this era are known.
+
+        A snapshot of an earlier state makes them come again. What they remove
+        may be there again at their end.
+        """
+        if self._position is None or snapshot.era != self._position.era:
+            self._replayed_until = 0
+        else:
+            self._replayed_until = max(self._replayed_until, self.revision)
+
     def _add_unless_departed(self, target, now):
         """Add a target, or hold it if it had left when the entry was made."""
         instance = target.instance
@@ -283,8 +297,8 @@
                 case DomainRestored(domain):
                     self._evacuated -= {domain}
                     self._listed_evacuated -= {domain}
-        self._remove_all(removed, now)
         revision = max(self.revision, changes.revision)
+        self._remove_all(removed, revision, now)
         self._position = models.Position(changes.era, revision)
         self._index()
 
@@ -380,7 +394,7 @@
             if self._targets[instance].removed_at is None:
                 self._targets[instance].removed_at = now
 
-    def _remove_all(self, instances, now):
+    def _remove_all(self, instances, revision, now):
         """Remove targets; those that seem to have lapsed stay for a while."""
         missing = [
             instance for instance in instances if instance in self._targets
@@ -396,6 +410,9 @@
                 self._remove(instance, now)
             elif known.removed_at is None:
                 known.removed_at = now
+        if revision <= self._replayed_until:
+            for instance in instances:
+                self._departed.pop(instance, None)
 
     def _find_lapsed_services(self, missing):
         """Return the services that miss too many targets to have left."""
