--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -31,9 +31,9 @@
 MAX_SMALL_CHUNKS = 4096
 MEAN_CHUNK_BYTES = 16
 
-# Events of the parser in one step of the event loop, which takes milliseconds.
-# One read can hold tens of thousands of chunks.
-EVENTS_PER_STEP = 100
+# Events of the parser in one step of the event loop. One read can hold tens of
+# thousands of chunks, and many targets may send such bodies at once.
+EVENTS_PER_STEP = 32
 
 _READ_BYTES = 64 * 1024
 
