Go on reading after the refusal of a body that is parsed in steps

A connection whose body was refused between two steps of parsing stayed paused. The host closes it a second later, with unread bytes, which resets it, so that the caller may lose the refusal. Reading goes on now until the connection closes, as before the steps.

The new test failed before (the transport was not reading) and passes.

--- a/lavenderstile/edge/callers.py
+++ b/lavenderstile/edge/callers.py
@@ -314,6 +314,8 @@
     def _refuse(self, status, detail):
         """Send an error response before the request is complete, and close."""
         self._is_refused = True
+        # Parsing may have been between two steps.
+        self._transport.resume_reading()
         self._server.record_fault(status, detail)
         response = self._server.make_refusal(status, detail)
         headers = [
--- a/tests/edge/test_callers.py
+++ b/tests/edge/test_callers.py
@@ -82,6 +82,20 @@
         )
         self.assertTrue(response.startswith(b'HTTP/1.1 413'), response[:80])
 
+    async def test_a_chunked_body_that_is_too_large_is_refused(self):
+        """Guards against a reset before the caller has read the refusal.
+
+        The host closes with a reset if it has stopped reading.
+        """
+        chunk = b'1000\r\n' + b'x' * 0x1000 + b'\r\n'
+        data = HEAD + b'Transfer-Encoding: chunked\r\n\r\n' + chunk * 1000
+        async with self.connect() as caller:
+            caller.writer.write(data)
+            response = await caller.read_to_end()
+            self.assertTrue(response.startswith(b'HTTP/1.1 413'), response)
+            (connection,) = self.server._connections
+            self.assertTrue(connection._transport.is_reading())
+
     async def test_a_chunked_body_is_joined(self):
         target = await self.add_target()
         response = await self.send_raw(
