Bound the numbers of the registry's own responses, and keep no raw values

The last numbers from outside without a bound: a revision or an era of more than 64 bits can't be packed into an update, and failed the task that sends updates. Such a response is a failed call now. A read of the whole registry kept all raw values until its end, so that large entries of another writer could fill the memory of a host; each page is decoded as it comes. Ruled out: splitting a page that isn't valid JSON (a value is base64 text there, and can't break it).

--- a/lavenderstile/platform/store.py
+++ b/lavenderstile/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import typing
 import urllib.parse
 
 import eliot
@@ -35,27 +36,32 @@
 # Header of all responses; it rises by one each time the store is restored from
 # an older copy.
 ERA = b'store-era'
+MAX_ERA_DIGITS = 15
 
 # Limit for the pages of one read; a page has at most about 500 items.
 MAX_PAGES = 1000
 
 
+# Hosts tell each other their revision; larger ones don't fit their messages.
+_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=objects.MAX_COUNT)]
+
+
 class _Item(msgspec.Struct, rename='camel'):
     key: str
-    revision: int
+    revision: _Revision
     value: str | None = None
     removed: bool = False
 
 
 class _Range(msgspec.Struct, rename='camel'):
     items: list[_Item]
-    current_rev: int
+    current_rev: _Revision
     has_more: bool = False
 
 
 class _Events(msgspec.Struct, rename='camel'):
     events: list[_Item]
-    current_rev: int
+    current_rev: _Revision
 
 
 _RANGE_DECODER = msgspec.json.Decoder(_Range)
@@ -73,7 +79,7 @@
 
     async def read_all(self):
         """Return a `Snapshot` of the whole store."""
-        items = []
+        decoded = []
         after = ''
         revision = era = None
         for _ in range(MAX_PAGES):
@@ -89,11 +95,11 @@
                 era = _read_era(response.headers)
             elif _read_era(response.headers) != era:
                 raise registry.HistoryLost
-            items.extend(page.items)
+            # Values may be large and of no use, so that none is kept.
+            decoded += _decode_items(page.items)
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        decoded = [value for value in map(_decode, items) if value is not None]
         return _make_snapshot(models.Position(era, revision), decoded)
 
     async def watch(self, revision, wait_s):
@@ -180,12 +186,11 @@
     text = header_tools.find_header(headers, ERA)
     if text is None:
         return 0
-    try:
-        return int(text)
-    except ValueError:
+    if not (text.isdigit() and len(text) <= MAX_ERA_DIGITS):
         raise errors.PlatformError(
-            f'Store-Era is not a number: {text!r}'
-        ) from None
+            f'Store-Era is not a number: {text[:MAX_ERA_DIGITS]!r}'
+        )
+    return int(text)
 
 
 def _parse(call, body, decoder):
@@ -208,6 +213,11 @@
     connection_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, count)
 
 
+def _decode_items(items):
+    """Return the objects and events for items that have any."""
+    return [value for value in map(_decode, items) if value is not None]
+
+
 def _decode(item):
     """Return the object or event for an item, or None.
 
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -62,6 +62,35 @@
                 await self.read_all(self.PARTS)
 
 
+class ResponseTest(unittest.TestCase):
+    """Guards against responses that raise an error which ends the watch."""
+
+    def setUp(self):
+        self.client = store_client.StoreClient(
+            ('127.0.0.1', 1), clocks.Clock()
+        )
+
+    def test_what_is_no_list_of_changes_is_a_failed_call(self):
+        nested = '[' * 100_000 + ']' * 100_000
+        for body in (
+            '',
+            '[]',
+            '{"events":[],"currentRev":-1}',
+            '{"events":[],"currentRev":' + '9' * 30 + '}',
+            '{"events":[{"key":"k","revision":1e30}],"currentRev":1}',
+            '{"events":[],"currentRev":1,"more":' + nested + '}',
+        ):
+            with self.subTest(body=body[:40]):
+                with self.assertRaises(errors.PlatformError):
+                    self.client.decode_changes(body.encode(), 1)
+
+    def test_an_era_that_no_message_holds_is_a_failed_call(self):
+        for value in (b'x', b'-1', b'9' * 20, b'9' * 5000):
+            with self.subTest(value=value[:20]):
+                with self.assertRaises(errors.PlatformError):
+                    store_client._read_era([(store_client.ERA, value)])
+
+
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Guards against faults of a connection that no caller expects.
 
