Test that an accepted entry can be used wherever its fields go

A property test over entries with odd values, in up to four fields and in the id: what is decoded is chosen by the balancer, summed, sent in a header, packed into a message between hosts and written to the state dump.

--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -2,10 +2,16 @@
 
 import unittest
 
+import h11
+import hypothesis
+from hypothesis import strategies
 import msgspec
 
 from emulator import registry_store
+from lavenderstile.edge import crash_guard
 from lavenderstile.edge import messages
+from lavenderstile.edge import models
+from lavenderstile.platform import headers
 from lavenderstile.platform import objects
 from tests.edge import builders
 
@@ -15,7 +21,15 @@
 def encode_target(**changes):
     """Return the bytes of an entry; `changes` may be `msgspec.Raw`."""
     entry = registry_store.describe_target(ADDRESS, **changes)
-    return msgspec.json.encode(entry)
+    # The encoder of msgspec refuses whole numbers of more than 64 bits.
+    return msgspec.json.encode(
+        {
+            name: msgspec.Raw(str(value).encode())
+            if type(value) is int
+            else value
+            for name, value in entry.items()
+        }
+    )
 
 
 def make_number(digits):
@@ -142,6 +156,87 @@
         self.assertEqual(target.instance, 'i-1/a:b')
 
 
+ODD_VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(-(10**40), 10**40),
+    strategies.integers(-2, 100_001),
+    strategies.floats(allow_nan=False, allow_infinity=False),
+    strategies.text(max_size=300),
+    strategies.sampled_from(
+        (
+            'ready',
+            'draining',
+            '10.9.0.1:80',
+            '10.9.0.1:65536',
+            '::1:80',
+            [],
+            {},
+            [[[[]]]],
+        )
+    ),
+)
+FIELDS = strategies.sampled_from(
+    (*registry_store.describe_target(ADDRESS), 'another')
+)
+
+
+class OddEntryTest(unittest.TestCase):
+    """Guards against an entry that is accepted and fails where it is used.
+
+    The uses are those of an entry's fields: the choice of a target, its sums,
+    the header of a request, the messages between hosts and the state dump.
+    """
+
+    def use(self, target):
+        """Use a decoded target as a host does."""
+        configuration = models.Configuration(
+            1,
+            models.CallerLimits(),
+            [],
+            [models.Service(target.service, '/health', 1, 3.0, 4.0)],
+            [],
+        )
+        fixture = builders.BalancerFixture(
+            [target], domain='zone-a', configuration=configuration
+        )
+        now = fixture.clock.now()
+        (known,) = fixture.directory.targets.values()
+        for _ in range(3):
+            fixture.balancer.choose(
+                target.service, now, 1.0, True, (), lambda instance: True
+            )
+            fixture.balancer.begin(known, now)
+            fixture.balancer.is_critical(known, now)
+        update = builders.make_update(
+            '10.1.0.1',
+            running=dict(fixture.balancer.own_running),
+            crashes=[messages.Crash('d', crash_guard.identify_run(target))],
+            leaving=[(target.instance, target.started_ms)],
+        )
+        self.assertEqual(messages.unpack(messages.pack(update)), update)
+        msgspec.json.encode([target.cold_left_s, known.cold_until])
+        h11.Request(
+            method='GET',
+            target='/x',
+            headers=headers.Headers().write_request(
+                [(b'host', b'a')], 'id', 1.0, target.instance, None
+            ),
+        )
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.dictionaries(FIELDS, ODD_VALUES, max_size=4),
+        strategies.text(max_size=250) | strategies.just('i-1'),
+    )
+    def test_a_decoded_entry_can_be_used_everywhere(self, changes, instance):
+        try:
+            target = objects.decode_target(instance, encode_target(**changes))
+        except objects.ObjectError:
+            return
+        self.use(target)
+
+
 class ConfigurationNumberTest(unittest.TestCase):
     """Guards against numbers that cannot be sent to other hosts or summed."""
 
