Revert "Use a part of each rate until the hosts of a new fleet know each other"

A bucket that begins with one token is refilled by little more than what a workspace near its rate uses.

--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -19,10 +19,6 @@
 # domains relay requests as well, so that the few get no excess load.
 MIN_RELAY_SHARE = 0.5
 
-# Hosts whose starts are no further apart have started together, as after a
-# loss of power; the clocks of two hosts may differ by less.
-SAME_START_MS = 5000
-
 # Largest number of contacts per domain.
 MAX_CONTACTS = 64
 
@@ -120,12 +116,6 @@
         """Other failure domains that have sent a digest, by name."""
         return self._domains
 
-    def runs_already(self):
-        """Return whether a host is known that ran before this one started."""
-        oldest_ms = self._started_ms - SAME_START_MS
-        hosts = [*self._peers.values(), *self._domains.values()]
-        return any(host.started_ms < oldest_ms for host in hosts)
-
     def count_reachable(self, now):
         """Return the number of reachable hosts, including this one."""
         return sum(self.get_domain_sizes(now).values())
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -92,7 +92,7 @@
             settings.address, settings.domain, started_ms
         )
         self.waiting = waiting_module.WaitingRequests(self.fleet)
-        self.rate_limits = rate_limits_module.RateLimits(has_joined=False)
+        self.rate_limits = rate_limits_module.RateLimits()
         self.health = health_module.HealthTracker()
         self.watcher_selection = watcher_selection_module.WatcherSelection(
             self.fleet
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -15,7 +15,6 @@
 from . import change_batches
 from . import health as health_module
 from . import messages
-from . import rate_limits
 from . import target_limits
 
 # Minimum time between two updates to the domain.
@@ -114,7 +113,6 @@
         self._metrics = parts.metrics
         self._settings = settings
         self._started_ms = started_ms
-        self._opened_at = self._clock.now()
         self._transport = None
         self._update_timer = None
         self._sent_at = 0.0
@@ -213,23 +211,9 @@
             eliot.log_message(
                 'host_silent', host=address, left=len(self._fleet.peers)
             )
-        self._join_rate_limits(now)
         reachable = self._fleet.count_reachable(now)
         self._rate_limits.set_share(reachable, self._fleet.get_size(now))
 
-    def _join_rate_limits(self, now):
-        """Use the rate limits in full once the other hosts are known."""
-        if self._rate_limits.has_joined:
-            return
-        runs_already = self._fleet.runs_already()
-        if runs_already or now - self._opened_at >= rate_limits.STARTING_S:
-            self._rate_limits.join(runs_already)
-            eliot.log_message(
-                'rate_limits_joined',
-                runs_already=runs_already,
-                hosts=self._fleet.count_reachable(now),
-            )
-
     def _send_hellos(self):
         hello = messages.pack(
             messages.Hello(
--- a/lavenderstile/edge/rate_limits.py
+++ b/lavenderstile/edge/rate_limits.py
@@ -18,15 +18,6 @@
 # requests were admitted before its start.
 INITIAL_FILL_SHARE = 0.5
 
-# A process that starts with all others knows neither them nor what they
-# admit. Until it has joined the fleet its buckets begin with one token, and it
-# uses this share of each limit.
-STARTING_SHARE = 0.05
-
-# Time after which a process that has met no host that ran before it takes
-# those it knows for the whole fleet.
-STARTING_S = 2.0
-
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 
@@ -48,16 +39,6 @@
         """Number of tokens; negative while the bucket is in debt."""
         return self._level
 
-    def drain(self):
-        """Leave one token."""
-        self._level = min(1.0, self._level)
-
-    def fill_initially(self):
-        """Add the tokens of a new bucket."""
-        self._level = min(
-            self._burst, self._level + self._burst * INITIAL_FILL_SHARE
-        )
-
     def resize(self, rate, burst, now, share):
         """Apply a changed limit."""
         self._refill(now, share)
@@ -98,40 +79,22 @@
 class RateLimits:
     """Token buckets of all workspaces, and the requests this host admitted."""
 
-    __slots__ = ('_admitted', '_buckets', '_has_joined', '_limits', '_share')
+    __slots__ = ('_admitted', '_buckets', '_limits', '_share')
 
-    def __init__(self, has_joined=True):
+    def __init__(self):
         self._buckets = {}
         self._limits = {}
         self._admitted = {}
-        self._has_joined = has_joined
-        self._share = 1.0 if has_joined else STARTING_SHARE
+        self._share = 1.0
 
     @property
     def admitted(self):
         """Requests admitted by this host, by workspace."""
         return self._admitted
 
-    @property
-    def has_joined(self):
-        """Whether the process has joined the fleet after its start."""
-        return self._has_joined
-
-    def join(self, runs_already):
-        """Use the limits in full, from now on.
-
-        In a fleet that `runs_already` most of a burst is usually left.
-        """
-        self._has_joined = True
-        self._share = 1.0
-        if runs_already:
-            for bucket in self._buckets.values():
-                bucket.fill_initially()
-
     def set_share(self, reachable, size):
         """Reduce each limit to the reachable share of the fleet."""
-        if self._has_joined:
-            self._share = min(1.0, reachable / max(1, size))
+        self._share = min(1.0, reachable / max(1, size))
 
     def configure(self, workspaces, now):
         """Apply the limits of a configuration."""
@@ -143,9 +106,7 @@
         for name, (rate, burst) in limits.items():
             bucket = self._buckets.get(name)
             if bucket is None:
-                bucket = self._buckets[name] = TokenBucket(rate, burst, now)
-                if not self._has_joined:
-                    bucket.drain()
+                self._buckets[name] = TokenBucket(rate, burst, now)
             elif self._limits.get(name) != (rate, burst):
                 bucket.resize(rate, burst, now, self._share)
         for name in self._buckets.keys() - limits.keys():
