Add a setting for the scope of balancing

New mechanisms that treat the targets of all failure domains as one pool are to take effect only where a deployment asks for them. The scope follows from the number of domains whose loss the deployment has to tolerate, unless the settings name it; all earlier deployments keep the scope of a domain.

--- a/lavenderstile/edge/settings.py
+++ b/lavenderstile/edge/settings.py
@@ -1,6 +1,7 @@
 """Settings of a host whose targets register themselves."""
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +19,24 @@
     floor_share: float = 0.7
 
 
+class Scope(enum.Enum):
+    """Which targets hosts treat as one pool.
+
+    With `DOMAIN` each failure domain balances by itself. With `FLEET` the
+    domains share what they know of failures, free slots and queues.
+    """
+
+    DOMAIN = 'domain'
+    FLEET = 'fleet'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BalancingSettings:
+    """How hosts spread requests over targets."""
+
+    scope: Scope = Scope.DOMAIN
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EdgeSettings:
     """Settings of one host.
@@ -38,3 +57,4 @@
     registry: tuple[str, int]
     stop_s: float
     limits: FleetLimits
+    balancing: BalancingSettings = BalancingSettings()
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest import mock
 
+from lavenderstile.edge import settings as edge_settings
 from lavenderstile import errors
 from lavenderstile.platform import settings
 
@@ -23,12 +24,14 @@
     'internalPorts.0': '7560',
     'seeds|json': '["10.1.0.37:8381", "10.2.0.8:8381"]',
     'platform.address|json': '"10.200.1.7:8382"',
+    'faultTolerance.zones': '1',
 }
 BOUNDS = {'graceS': '6', 'retryBudgetRatio': '0.2', 'strictRevoke': 'false'}
 
 
-def fill_template():
+def fill_template(**changes):
     """Return the template in deploy/ as the platform fills it in."""
+    values = VALUES | changes
     text = (ROOT / 'deploy' / 'host.toml').read_text()
     section = re.compile(r'\{\{#bounds\}\}(.*?)\{\{/bounds\}\}', re.DOTALL)
     lines = ''.join(
@@ -38,7 +41,7 @@
         for name, value in BOUNDS.items()
     )
     text = section.sub(lambda _: lines, text)
-    return re.sub(r'\{\{(.*?)\}\}', lambda match: VALUES[match[1]], text)
+    return re.sub(r'\{\{(.*?)\}\}', lambda match: values[match[1]], text)
 
 
 class TemplateTest(unittest.TestCase):
@@ -55,6 +58,35 @@
         self.assertEqual(result.limits.floor_share, 0.7)
 
 
+class BalancingScopeTest(unittest.TestCase):
+    """Guards against deployments that get another scope than they ask for."""
+
+    def read_scope(self, losses, extra=''):
+        text = fill_template(**{'faultTolerance.zones': losses})
+        return settings.read_settings(text + extra, 'test').balancing.scope
+
+    def test_domains_are_kept_apart_where_one_may_be_lost(self):
+        for losses in ('1', '2', ''):
+            with self.subTest(losses=losses):
+                scope = self.read_scope(losses)
+                self.assertIs(scope, edge_settings.Scope.DOMAIN)
+
+    def test_one_pool_where_no_domain_may_be_lost(self):
+        self.assertIs(self.read_scope('0'), edge_settings.Scope.FLEET)
+
+    def test_an_explicit_scope_goes_first(self):
+        scope = self.read_scope('0', '[balancing]\nscope = "domain"\n')
+        self.assertIs(scope, edge_settings.Scope.DOMAIN)
+
+    def test_an_unknown_scope_is_named(self):
+        with self.assertRaisesRegex(errors.SettingsError, "'zone'"):
+            self.read_scope('0', '[balancing]\nscope = "zone"\n')
+
+    def test_unreadable_losses_are_an_error(self):
+        with self.assertRaisesRegex(errors.SettingsError, 'many'):
+            self.read_scope('many')
+
+
 class FaultTest(unittest.TestCase):
     """Guards against errors that do not name the faulty setting."""
 
