Tell other domains of failing targets, and leave targets that have just failed alone

While more than 7% of a service's requests fail, the floor sent the next order 1.5 s later to targets that had just failed one, which kept the service above the 7%.

Change (scope fleet only): a new fault goes to the other domains at once, and digests name the healthy targets of their domain. A target gets no request to stay in use for 3 s after a fault, or while its failure probability is above 0.6; after that it is tested whatever is known of it. Requests that are not idempotent wait rather than go there.

--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -16,6 +16,11 @@
 CROSS_DOMAIN_PENALTY_S = 0.25
 CROSS_DOMAIN_PENALTY_S_PER_KB = 0.004
 
+# The same if the targets of all domains are one pool, where more requests go
+# to other domains: a large body uses the thin links of two hosts for longer
+# than most requests take.
+POOLED_CROSS_DOMAIN_PENALTY_S_PER_KB = 0.015
+
 # The weight of a load report falls linearly to zero over this time.
 LOAD_REPORT_LIFETIME_S = 0.8
 
@@ -30,6 +35,17 @@
 IDEMPOTENT_UNUSED_AFTER_S = 1.0
 UNUSED_BONUS_S = 1.0
 
+# If the targets of all domains are one pool, a target gets no request just to
+# stay in use for this time after a fault. A gray failure lasts for seconds,
+# and the floor counts the targets that have been well for two seconds.
+FAULT_HOLD_S = 3.0
+
+# It is also left alone above this failure probability, which one that was in
+# doubt before its fault falls below after six seconds, and one that had proved
+# itself within the hold. Healthy targets must not be left out for longer: the
+# floor holds at any moment, also just before many requests fail at once.
+RETEST_PROBABILITY = 0.6
+
 # Share of a target's slots in use above which each further request affects
 # the choices of other hosts.
 CRITICAL_LOAD_SHARE = 0.5
@@ -103,10 +119,12 @@
 
     __slots__ = (
         '_cold_start_limiter',
+        '_cross_domain_s_per_kb',
         '_directory',
         '_fleet',
         '_floor_share',
         '_health',
+        '_is_pooled',
         '_outcomes',
         '_own_running',
         '_pauses',
@@ -126,7 +144,14 @@
         pauses,
         floor_share,
         rng=None,
+        is_pooled=False,
     ):
+        self._is_pooled = is_pooled
+        self._cross_domain_s_per_kb = (
+            POOLED_CROSS_DOMAIN_PENALTY_S_PER_KB
+            if is_pooled
+            else CROSS_DOMAIN_PENALTY_S_PER_KB
+        )
         self._directory = directory
         self._fleet = fleet
         self._health = health
@@ -179,6 +204,11 @@
             for known in self._directory.list_targets(service)
             if known.target.domain == self._fleet.domain
         ]
+        if self._is_pooled:
+            kept = [
+                instance for instance in own if self._is_due(instance, now)
+            ]
+            return self._list_unused(kept, is_idempotent, now)
         floor_count = 0
         if self._outcomes.is_failing(service, now):
             own.sort(
@@ -192,6 +222,19 @@
             for instance in own[floor_count:]
             if not self._health.is_avoided(instance, now)
         ]
+        return self._list_unused(kept, is_idempotent, now)
+
+    def _is_due(self, instance, now):
+        """Return whether a target of the pool may be tested."""
+        health = self._health
+        return (
+            health.get_fault_age(instance, now) >= FAULT_HOLD_S
+            and health.get_failure_probability(instance, now)
+            < RETEST_PROBABILITY
+            and not health.is_path_blocked(instance, now)
+        )
+
+    def _list_unused(self, kept, is_idempotent, now):
         limit_s = (
             IDEMPOTENT_UNUSED_AFTER_S if is_idempotent else UNUSED_AFTER_S
         )
@@ -268,6 +311,8 @@
         """
         best = None
         best_score = None
+        best_failing = None
+        best_failing_score = None
         shortest_full_wait_s = math.inf
         cold_rate = self._get_cold_rate(service)
         unused = self._find_unused(service, is_idempotent, now)
@@ -297,33 +342,60 @@
             if waiting > QUEUE_PER_SLOT * target.slots:
                 shortest_full_wait_s = min(shortest_full_wait_s, wait_s)
                 continue
+            penalty_s = self._health.get_penalty(instance, is_idempotent, now)
+            if instance in unused:
+                # A target of the pool is tested whatever is known of it.
+                penalty_s = (
+                    -UNUSED_BONUS_S
+                    if self._is_pooled
+                    else penalty_s - UNUSED_BONUS_S
+                )
             score = (
                 wait_s
                 + latency_s
                 + running / target.slots * 0.1 * latency_s
-                + self._health.get_penalty(instance, is_idempotent, now)
+                + penalty_s
                 + self._random.random() * 0.01
             )
             if target.domain != self._fleet.domain:
                 score += (
                     CROSS_DOMAIN_PENALTY_S
-                    + kilobytes * CROSS_DOMAIN_PENALTY_S_PER_KB
+                    + kilobytes * self._cross_domain_s_per_kb
                 )
-            if instance in unused:
-                score -= UNUSED_BONUS_S
             if not has_connection(instance):
                 score += CONNECT_PENALTY_S
+            if self._is_failing(instance, now):
+                if best_failing is None or score < best_failing_score:
+                    best_failing = Chosen(known, wait_s)
+                    best_failing_score = score
+                continue
             if best is None or score < best_score:
                 best = Chosen(known, wait_s)
                 best_score = score
         if best is not None:
             return best
+        if best_failing is not None and (
+            is_idempotent or shortest_full_wait_s == math.inf
+        ):
+            return best_failing
         return (
             NoTarget()
             if shortest_full_wait_s == math.inf
             else Full(shortest_full_wait_s)
         )
 
+    def _is_failing(self, instance, now):
+        """Return whether a target has very likely not recovered yet.
+
+        A request that is not idempotent then waits for another one: it would
+        be lost, while a refusal lets its caller send it again.
+        """
+        return (
+            self._is_pooled
+            and self._health.get_fault_age(instance, now) < FAULT_HOLD_S
+            and self._health.is_avoided(instance, now)
+        )
+
     def _get_cold_rate(self, service):
         configuration = self._directory.configuration
         found = configuration and configuration.services.get(service)
--- a/lavenderstile/edge/health.py
+++ b/lavenderstile/edge/health.py
@@ -7,6 +7,7 @@
 without recent requests.
 """
 
+import dataclasses
 import enum
 import math
 
@@ -24,10 +25,29 @@
 NEW_TARGET_PROBABILITY = 0.02
 UNTRIED_BONUS_S = 0.1
 
-# Cost of a failed request, as an equivalent wait. A request that is not
-# idempotent is lost, an idempotent one is retried.
-FAILURE_COST_S = 0.8
-IDEMPOTENT_FAILURE_COST_S = 0.6
+# A report of another domain that a target is healthy is ignored for this time
+# after a fault, because the report may be from before the fault, or the target
+# may fail for some callers only.
+REPORTED_HEALTH_HOLD_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailureCosts:
+    """Cost of a failed request, as an equivalent wait in seconds.
+
+    A request that is not idempotent is lost, an idempotent one is retried.
+    """
+
+    usual_s: float
+    idempotent_s: float
+
+
+SEPARATE_COSTS = FailureCosts(0.8, 0.6)
+
+# If the targets of all domains are one pool, another domain has room for what
+# the own one can't take. A request that waits in a queue is still served in
+# its time, while a retry uses the budget that all hosts share.
+POOLED_COSTS = FailureCosts(2.0, 0.6)
 
 # A host that cannot connect to a target avoids it for this time, with
 # exponential backoff.
@@ -71,6 +91,7 @@
         'failure_probability',
         'faulted_at',
         'is_untried',
+        'last_fault_at',
         'latency_at',
         'latency_s',
         'path_blocked_until',
@@ -82,6 +103,7 @@
     def __init__(self, probability, is_untried, now):
         self.failure_probability = probability
         self.faulted_at = float('-inf')
+        self.last_fault_at = float('-inf')
         self.is_untried = is_untried
         self.updated_at = now
         self.path_blocked_until = 0.0
@@ -116,6 +138,7 @@
         """
         if kind is not FaultKind.SILENT:
             self.faulted_at = now
+        self.last_fault_at = now
         self._update(True, now)
 
     def _update(self, failed, now):
@@ -133,9 +156,10 @@
 class HealthTracker:
     """Health of all targets, from outcomes of this host and its peers."""
 
-    __slots__ = ('_service_latency_s', '_targets')
+    __slots__ = ('_failure_costs', '_service_latency_s', '_targets')
 
-    def __init__(self):
+    def __init__(self, failure_costs=SEPARATE_COSTS):
+        self._failure_costs = failure_costs
         self._targets = {}
         self._service_latency_s = {}
 
@@ -175,6 +199,11 @@
             or health.get_failure_probability(now) > AVOIDED_PROBABILITY
         )
 
+    def is_path_blocked(self, instance, now):
+        """Return whether this host could not connect to a target lately."""
+        health = self._targets.get(instance)
+        return health is not None and health.path_blocked_until > now
+
     def record_fault(self, instance, kind, now):
         """Record a fault of a target, seen by any host of the domain.
 
@@ -190,6 +219,26 @@
         health.update_on_fault(kind, now)
         return before <= AVOIDED_PROBABILITY < health.failure_probability
 
+    def get_fault_age(self, instance, now):
+        """Return the seconds since the last fault of a target was seen."""
+        health = self._targets.get(instance)
+        return math.inf if health is None else now - health.last_fault_at
+
+    def record_reported_health(self, instance, probability, now):
+        """Record that another domain finds a target healthy.
+
+        Faults that this domain has seen since the last report count more.
+        """
+        health = self._targets.get(instance)
+        if (
+            health is not None
+            and now - health.last_fault_at > REPORTED_HEALTH_HOLD_S
+            and health.get_failure_probability(now) > probability
+        ):
+            health.is_untried = False
+            health.failure_probability = probability
+            health.updated_at = now
+
     def record_path_fault(self, instance, now):
         """Record that this host cannot connect to a target.
 
@@ -246,10 +295,14 @@
         """Return the penalty for a target's health, as an equivalent wait."""
         health = self._targets.get(instance)
         if health is None:
-            return PRIOR_PROBABILITY * FAILURE_COST_S
+            return PRIOR_PROBABILITY * self._failure_costs.usual_s
         if health.path_blocked_until > now or health.shed_until > now:
             return BLOCKED_PENALTY_S
         if health.is_untried:
             return -UNTRIED_BONUS_S
-        cost_s = IDEMPOTENT_FAILURE_COST_S if is_idempotent else FAILURE_COST_S
+        cost_s = (
+            self._failure_costs.idempotent_s
+            if is_idempotent
+            else self._failure_costs.usual_s
+        )
         return health.get_failure_probability(now) * cost_s
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -28,10 +28,12 @@
 from . import rate_limits as rate_limits_module
 from . import registry
 from . import relay as relay_module
+from . import settings as settings_module
 from . import target_limits as target_limits_module
 from . import target_pools
 from . import waiting as waiting_module
 from . import watcher_selection as watcher_selection_module
+from .evidence import notices as notices_module
 
 # The load balancer in front of the hosts sends new connections until two
 # readiness probes, one a second, have failed.
@@ -69,7 +71,9 @@
         'guard',
         'header_codec',
         'health',
+        'health_exchange',
         'metrics',
+        'notices',
         'outcomes',
         'path_tester',
         'paths',
@@ -93,7 +97,16 @@
         )
         self.waiting = waiting_module.WaitingRequests(self.fleet)
         self.rate_limits = rate_limits_module.RateLimits()
-        self.health = health_module.HealthTracker()
+        is_pooled = settings.balancing.scope is settings_module.Scope.FLEET
+        self.health = health_module.HealthTracker(
+            health_module.POOLED_COSTS
+            if is_pooled
+            else health_module.SEPARATE_COSTS
+        )
+        self.notices = notices_module.FaultNotices(is_pooled)
+        self.health_exchange = notices_module.HealthExchange(
+            self.directory, settings.domain, self.health, is_pooled
+        )
         self.watcher_selection = watcher_selection_module.WatcherSelection(
             self.fleet
         )
@@ -110,12 +123,13 @@
             self.target_limits,
             self.pauses,
             settings.limits.floor_share,
+            is_pooled=is_pooled,
         )
         self.budgets = budgets_module.Budgets(settings.limits, clock.now())
         self.pools = target_pools.TargetPools(clock)
         self.paths = paths_module.Paths()
         self.guard = crash_guard.CrashGuard()
-        self.reports = mesh_module.Reports()
+        self.reports = mesh_module.Reports(self.notices)
         self.path_tester = path_tester.PathTester(self)
         self.relay = relay_module.RelayClient(
             clock, self.fleet, settings.peer_port
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -57,16 +57,22 @@
 class Reports:
     """Faults and successes for the next update to the domain."""
 
-    __slots__ = ('_faults', '_successes', 'schedule_update')
+    __slots__ = ('_faults', '_notices', '_successes', 'schedule_update')
 
-    def __init__(self):
+    def __init__(self, notices):
+        self._notices = notices
         self._faults = []
         self._successes = {}
         self.schedule_update = _ignore
 
-    def add_fault(self, instance, kind):
-        """Report that a target failed a request."""
+    def add_fault(self, instance, kind, is_new):
+        """Report that a target failed a request.
+
+        Other domains are told if it is avoided from now on (`is_new`).
+        """
         self._faults.append(messages.Fault(instance, kind.value))
+        if is_new:
+            self._notices.add(instance, kind)
         self.schedule_update()
 
     def add_success(self, instance, service, latency_s, remote_load):
@@ -103,6 +109,8 @@
         self._balancer = parts.balancer
         self._budgets = parts.budgets
         self._health = parts.health
+        self._notices = parts.notices
+        self._health_exchange = parts.health_exchange
         self._guard = parts.guard
         self._paths = parts.paths
         self._watcher_selection = parts.watcher_selection
@@ -160,6 +168,8 @@
                 self._handle_registry_changes(message, addr[0])
             case messages.Digest():
                 self._handle_digest(message, data, addr[0], now)
+            case messages.FaultNotice():
+                self._handle_fault_notice(message, data, addr[0], now)
 
     def error_received(self, error):
         """Count an undelivered datagram, as to a host that has stopped."""
@@ -361,10 +371,29 @@
             digest, digest.origin, now, is_own_domain=False
         )
         self._record_leaving(digest.leaving, digest.origin)
+        self._health_exchange.apply_healthy(digest.healthy, now)
+        self._forward(data, sender)
+
+    def _forward(self, data, sender):
+        """Forward a message of another domain inside the own one."""
         if sender not in self._fleet.peers:
             for address in self._fleet.peers:
                 self._send(address, data)
 
+    def _handle_fault_notice(self, notice, data, sender, now):
+        if notice.domain == self._fleet.domain:
+            return
+        unknown = self._health_exchange.apply_faults(notice.faults, now)
+        eliot.log_message(
+            'faults_reported',
+            domain=notice.domain,
+            faults=notice.faults,
+            unknown=unknown,
+            sender=sender,
+        )
+        self._metrics.count_reported_faults(len(notice.faults))
+        self._forward(data, sender)
+
     def _count_admitted(self, added):
         for workspace, count in added.items():
             total = self._domain_admitted.get(workspace, 0)
@@ -488,6 +517,17 @@
         data = messages.pack(update)
         for address in self._fleet.peers:
             self._send(address, data)
+        faults = self._notices.take()
+        if faults:
+            notice = messages.FaultNotice(self._fleet.domain, faults)
+            self._send_to_domains(messages.pack(notice), self._sent_at)
+
+    def _send_to_domains(self, data, now):
+        """Send a message to some hosts of each other domain."""
+        for domain in self._fleet.contacts:
+            if domain != self._fleet.domain:
+                for address in self._choose_digest_receivers(domain, now):
+                    self._send(address, data)
 
     def _send_digests(self, now):
         if self._fleet.primary != self._fleet.address:
@@ -515,12 +555,10 @@
                 crash_reports.answers,
                 self._choose_relays(),
                 self._directory.leaving,
+                self._health_exchange.list_healthy(now),
             )
         )
-        for domain in self._fleet.contacts:
-            if domain != self._fleet.domain:
-                for address in self._choose_digest_receivers(domain, now):
-                    self._send(address, data)
+        self._send_to_domains(data, now)
 
     def _choose_relays(self):
         relays = self._fleet.list_own_relays()
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -109,6 +109,17 @@
         return models.Position(self.era, self.revision)
 
 
+class FaultNotice(msgspec.Struct, tag='f', array_like=True):
+    """Targets that have begun to fail, for the hosts of another domain.
+
+    `faults` has the kind of the fault by instance. The receiver forwards the
+    notice inside its domain.
+    """
+
+    domain: str
+    faults: dict[str, str]
+
+
 class Digest(msgspec.Struct, tag='d', array_like=True):
     """Totals of a failure domain for the hosts of other domains.
 
@@ -118,7 +129,8 @@
     the domain's requests and failures by service, `limits` the limits that
     targets stated, `answers` the ages of answers to suspected requests,
     `relays` some hosts of the domain that reach the targets, `leaving` the
-    instance and start of the targets that said that they leave.
+    instance and start of the targets that said that they leave, `healthy` the
+    targets of the domain that have served requests well lately.
     """
 
     origin: str
@@ -135,6 +147,7 @@
     answers: dict[str, float] = {}
     relays: list[str] = []
     leaving: list[tuple[str, int]] = []
+    healthy: list[str] = []
 
     @property
     def position(self):
@@ -144,7 +157,7 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(
-    Hello | Welcome | Update | Digest | RegistryChanges
+    Hello | Welcome | Update | Digest | RegistryChanges | FaultNotice
 )
 
 
--- a/lavenderstile/edge/metrics.py
+++ b/lavenderstile/edge/metrics.py
@@ -21,6 +21,10 @@
         self._faults = self._counter(
             'edge_faults_total', 'Faults of targets by kind.'
         )
+        self._reported_faults = self._counter(
+            'edge_reported_faults_total',
+            'Targets that other failure domains reported as failing.',
+        )
         self._budget = self._counter(
             'edge_retry_budget_empty_total',
             'Second sends that the budget did not allow, by service.',
@@ -63,6 +67,10 @@
         """Count a fault of a target."""
         self._faults.inc({'kind': kind})
 
+    def count_reported_faults(self, count):
+        """Count targets that another domain reported as failing."""
+        self._reported_faults.add({}, count)
+
     def count_denied_retry(self, service):
         """Count a retry that the retry budget denied."""
         self._budget.inc({'service': service})
--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -322,7 +322,7 @@
         if self._paths.is_cut and kind in PATH_FAULTS:
             return
         is_avoided = self._health.record_fault(instance, kind, now)
-        self._reports.add_fault(instance, kind)
+        self._reports.add_fault(instance, kind, is_avoided)
         self._metrics.count_fault(kind.value)
         if is_avoided:
             eliot.log_message(
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -111,7 +111,13 @@
     """A balancer with its dependencies and a virtual clock."""
 
     def __init__(
-        self, targets, address='10.1.0.1', domain='a', rng=None, **changes
+        self,
+        targets,
+        address='10.1.0.1',
+        domain='a',
+        rng=None,
+        is_pooled=False,
+        **changes,
     ):
         self.clock = clocks.VirtualClock()
         now = self.clock.now()
@@ -134,6 +140,7 @@
             self.pauses,
             0.7,
             rng,
+            is_pooled,
         )
 
     def record_successes(self, *instances):
--- /dev/null
+++ b/tests/edge/evidence/test_notices.py
@@ -0,0 +1,209 @@
+"""Tests of what domains tell each other of targets."""
+
+import unittest
+
+from lavenderstile.edge import balancing
+from lavenderstile.edge import health
+from lavenderstile.edge import messages
+from tests.edge import builders
+from tests.edge import test_mesh
+
+TARGETS = (
+    builders.make_target('a-1', domain='a'),
+    builders.make_target('b-1', domain='b'),
+)
+HERE, PEER, ABROAD = '10.1.0.1', '10.1.1.0', '10.2.0.1'
+
+
+class NoticeCase(unittest.IsolatedAsyncioTestCase):
+    """Has a host of domain a with one peer, which knows domain b."""
+
+    def start(self, is_pooled=True):
+        """Set up the host."""
+        self.subject, self.sent = test_mesh.make_mesh(1, TARGETS, is_pooled)
+        self.subject._fleet.learn_contacts({'b': [ABROAD]})
+        self.health = self.subject._health
+        self.now = self.subject._clock.now()
+
+    def receive(self, message, sender):
+        """Let the host receive a message."""
+        self.sent.clear()
+        self.subject.datagram_received(messages.pack(message), (sender, 7))
+
+    def list_notices(self):
+        """Return the fault notices that were sent, with their receivers."""
+        return [
+            (message.faults, address)
+            for message, address in self.sent
+            if isinstance(message, messages.FaultNotice)
+        ]
+
+    def get_probability(self, instance):
+        """Return the failure probability of a target."""
+        now = self.subject._clock.now()
+        return self.health.get_failure_probability(instance, now)
+
+
+class FaultNoticeTest(NoticeCase):
+    """Load pattern: hosts of several domains use the same targets.
+
+    Guards against one lost request in each domain for each gray failure.
+    """
+
+    async def test_a_new_fault_goes_to_other_domains(self):
+        self.start()
+        fault = health.FaultKind.ERROR
+        self.subject._reports.add_fault('b-1', fault, True)
+        self.subject._send_update(is_full=False)
+        self.assertEqual(self.list_notices(), [({'b-1': 'error'}, ABROAD)])
+        self.sent.clear()
+        self.subject._send_update(is_full=False)
+        self.assertEqual(self.list_notices(), [])
+
+    async def test_a_known_fault_is_not_sent_again(self):
+        self.start()
+        fault = health.FaultKind.ERROR
+        self.subject._reports.add_fault('b-1', fault, False)
+        self.subject._send_update(is_full=False)
+        self.assertEqual(self.list_notices(), [])
+
+    async def test_a_received_fault_is_used_and_forwarded(self):
+        self.start()
+        notice = messages.FaultNotice('b', {'b-1': 'error'})
+        self.receive(notice, ABROAD)
+        self.assertGreater(
+            self.get_probability('b-1'), health.AVOIDED_PROBABILITY
+        )
+        self.assertEqual(self.list_notices(), [({'b-1': 'error'}, PEER)])
+
+    async def test_a_forwarded_fault_is_not_forwarded_again(self):
+        self.start()
+        self.receive(messages.FaultNotice('b', {'b-1': 'error'}), PEER)
+        self.assertEqual(self.list_notices(), [])
+
+    async def test_unknown_targets_and_kinds_are_ignored(self):
+        """A newer build may report what this one does not know."""
+        self.start()
+        faults = {'b-1': 'lost', 'b-9': 'error'}
+        self.receive(messages.FaultNotice('b', faults), ABROAD)
+        self.assertEqual(self.get_probability('b-1'), health.PRIOR_PROBABILITY)
+
+    async def test_separate_domains_send_nothing(self):
+        """Guards against changes where the domains are kept apart."""
+        self.start(is_pooled=False)
+        fault = health.FaultKind.ERROR
+        self.subject._reports.add_fault('b-1', fault, True)
+        self.subject._send_update(is_full=False)
+        self.assertEqual(self.list_notices(), [])
+
+
+class HealthyTargetTest(NoticeCase):
+    """Load pattern: a crest of demand goes over to another domain's targets.
+
+    Guards against requests that test targets there which its own hosts know.
+    """
+
+    async def test_a_digest_names_the_healthy_targets_of_the_domain(self):
+        self.start()
+        for instance in ('a-1', 'b-1'):
+            for _ in range(3):
+                self.health.record_success(instance, 'ledger', 0.1, self.now)
+        self.sent.clear()
+        self.subject._send_digests(self.now)
+        self.assertEqual(self.sent[0][0].healthy, ['a-1'])
+
+    async def test_a_target_of_another_domain_needs_no_test(self):
+        self.start()
+        self.receive(builders.make_digest(healthy=['b-1']), ABROAD)
+        self.assertLess(self.get_probability('b-1'), 0.11)
+
+    async def test_an_own_fault_counts_more_than_an_older_report(self):
+        self.start()
+        self.health.record_fault('b-1', health.FaultKind.ERROR, self.now)
+        self.receive(builders.make_digest(healthy=['b-1']), ABROAD)
+        self.assertGreater(self.get_probability('b-1'), 0.9)
+
+    async def test_a_digest_of_an_older_build_has_none(self):
+        """Guards against a decoding error while a fleet is upgraded."""
+        self.start()
+        self.receive(builders.make_digest(), ABROAD)
+        self.assertEqual(self.get_probability('b-1'), health.PRIOR_PROBABILITY)
+
+
+class FaultHoldTest(unittest.TestCase):
+    """Load pattern: a service whose requests fail keeps its targets in use.
+
+    Guards against orders that are sent to a target that has just failed one,
+    only to keep it in use: each of these orders is lost.
+    """
+
+    def make_failing(self, is_pooled):
+        """Return a fixture with a failing service and one failed target."""
+        targets = [builders.make_target(f'i-{n}') for n in range(3)]
+        fixture = builders.BalancerFixture(targets, is_pooled=is_pooled)
+        fixture.record_successes('i-0', 'i-1', 'i-2')
+        now = fixture.clock.now()
+        fixture.outcomes.record('ledger', 100, 30, now)
+        fixture.health.record_fault('i-2', health.FaultKind.ERROR, now)
+        fixture.clock.advance(2.0)
+        fixture.record_successes('i-0')
+        fixture.balancer.record_use(['i-1'], fixture.clock.now())
+        fixture.outcomes.record('ledger', 100, 30, fixture.clock.now())
+        return fixture
+
+    def test_a_target_with_a_recent_fault_is_not_kept_in_use(self):
+        fixture = self.make_failing(is_pooled=True)
+        self.assertNotEqual(fixture.choose_instance(), 'i-2')
+
+    def test_it_is_due_after_a_while(self):
+        fixture = self.make_failing(is_pooled=True)
+        fixture.clock.advance(1.2)
+        fixture.record_successes('i-0', 'i-1')
+        fixture.outcomes.record('ledger', 100, 30, fixture.clock.now())
+        self.assertEqual(fixture.choose_instance(), 'i-2')
+
+    def test_one_that_was_in_doubt_before_is_left_alone_for_longer(self):
+        """Guards against the loss of one order every three seconds.
+
+        The fault of a target that had not proved itself is hardly by chance.
+        """
+        fixture = self.make_failing(is_pooled=True)
+        fixture.health.record_fault(
+            'i-2', health.FaultKind.ERROR, fixture.clock.now()
+        )
+        fixture.clock.advance(4.0)
+        fixture.record_successes('i-0', 'i-1')
+        self.assertNotEqual(fixture.choose_instance(), 'i-2')
+        fixture.clock.advance(3.0)
+        fixture.record_successes('i-0', 'i-1')
+        self.assertEqual(fixture.choose_instance(), 'i-2')
+
+    def test_a_target_in_doubt_stays_in_use_while_all_is_well(self):
+        """Guards against healthy targets that no host has used for long.
+
+        Just before many requests fail at once, most of them must be in use.
+        """
+        fixture = self.make_failing(is_pooled=True)
+        fixture.clock.advance(6.0)
+        fixture.record_successes('i-0', 'i-1')
+        self.assertFalse(
+            fixture.outcomes.is_failing('ledger', fixture.clock.now())
+        )
+        self.assertEqual(fixture.choose_instance(), 'i-2')
+
+    def test_orders_wait_while_only_failing_targets_have_room(self):
+        """Guards against orders that are lost to save them a short wait."""
+        fixture = self.make_failing(is_pooled=True)
+        for instance in ('i-0', 'i-1'):
+            for _ in range(9):
+                fixture.balancer.begin(
+                    fixture.directory.targets[instance], fixture.clock.now()
+                )
+        self.assertIsInstance(fixture.choose(), balancing.Full)
+        choice = fixture.choose_instance(is_idempotent=True)
+        self.assertEqual(choice, 'i-2')
+
+    def test_separate_domains_keep_it_in_use(self):
+        """Guards against changes where the domains are kept apart."""
+        fixture = self.make_failing(is_pooled=False)
+        self.assertEqual(fixture.choose_instance(), 'i-2')
--- a/tests/edge/test_health.py
+++ b/tests/edge/test_health.py
@@ -70,7 +70,9 @@
         late = self.tracker.get_penalty('i-1', False, 60.0)
         self.assertLess(early, late)
         self.assertAlmostEqual(
-            late, health.PRIOR_PROBABILITY * health.FAILURE_COST_S, 3
+            late,
+            health.PRIOR_PROBABILITY * health.SEPARATE_COSTS.usual_s,
+            3,
         )
 
     def test_shedding_does_not_count_as_a_fault(self):
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -7,9 +7,11 @@
 from lavenderstile import clocks
 from lavenderstile.edge import crash_guard
 from lavenderstile.edge import directory as directory_module
+from lavenderstile.edge.evidence import notices
 from lavenderstile.edge import fleet
 from lavenderstile.edge import mesh
 from lavenderstile.edge import messages
+from lavenderstile.edge import metrics
 from lavenderstile.edge import paths
 from lavenderstile.edge import rate_limits
 from tests.edge import builders
@@ -25,9 +27,13 @@
         self.sent.append((messages.unpack(data), address[0]))
 
 
-def make_mesh(peers):
-    """Return a mesh with peers in its domain, and its sent messages."""
-    bench = builders.BalancerFixture([])
+def make_mesh(peers, targets=(), is_pooled=False):
+    """Return a mesh with peers in its domain, and its sent messages.
+
+    With `is_pooled` the targets of all domains are one pool.
+    """
+    bench = builders.BalancerFixture(targets)
+    fault_notices = notices.FaultNotices(is_pooled)
     view = fleet.Fleet('10.1.0.1', 'a', 1)
     for number in range(peers):
         view.apply_update(builders.make_update(f'10.1.1.{number}'), 0.0)
@@ -51,8 +57,12 @@
         ),
         directory=bench.directory,
         outcomes=bench.outcomes,
-        reports=mesh.Reports(),
-        metrics=None,
+        reports=mesh.Reports(fault_notices),
+        notices=fault_notices,
+        health_exchange=notices.HealthExchange(
+            bench.directory, 'a', bench.health, is_pooled
+        ),
+        metrics=metrics.EdgeMetrics(),
     )
     settings = types.SimpleNamespace(peer_port=7, seeds=())
     subject = mesh.Mesh(parts, settings, 1)
