--- a/emulator/edge_fleet.py
+++ b/emulator/edge_fleet.py
@@ -55,10 +55,11 @@
 class EdgeHost:
     """One host and its process."""
 
-    def __init__(self, name, address, domain, directory):
+    def __init__(self, name, address, domain, directory, extra_settings=''):
         self.name = name
         self.address = address
         self.domain = domain
+        self._extra_settings = extra_settings
         self.settings_path = directory / f'{name}.toml'
         self.process = processes.Process(
             name,
@@ -92,6 +93,7 @@
                 seeds=str(seeds).replace("'", '"'),
                 registry=registry,
             )
+            + self._extra_settings
         )
 
 
@@ -100,13 +102,15 @@
 
     The hosts with the numbers in `separate_hosts` have proxies to the targets
     of their own, so that they can be cut off. A store of their own lists
-    these; it must not change while the hosts run.
+    these; it must not change while the hosts run. The TOML text
+    `extra_settings` is appended to the settings of each host.
     """
 
-    def __init__(self, directory, net, separate_hosts=()):
+    def __init__(self, directory, net, separate_hosts=(), extra_settings=''):
         self.store = registry_store.RegistryStore()
         self.separate_proxies = {}
         self._separate_hosts = frozenset(separate_hosts)
+        self._extra_settings = extra_settings
         self._separate_store = registry_store.RegistryStore()
         self.hosts = []
         self.targets = {}
@@ -135,7 +139,9 @@
         for number, address in enumerate(addresses):
             domain = DOMAINS[number % 2]
             name = f'host-{number}'
-            host = EdgeHost(name, address, domain, self._directory)
+            host = EdgeHost(
+                name, address, domain, self._directory, self._extra_settings
+            )
             host.write_settings(
                 addresses[:3],
                 separate_registry
@@ -194,13 +200,17 @@
 
 
 @contextlib.asynccontextmanager
-async def run_edge_fleet(hosts=4, targets=4, separate_hosts=()):
+async def run_edge_fleet(
+    hosts=4, targets=4, separate_hosts=(), extra_settings=''
+):
     """Start a fleet; yield it; stop it at the end."""
     with (
         tempfile.TemporaryDirectory() as directory,
         _reserve_net() as net,
     ):
-        running = EdgeFleet(pathlib.Path(directory), net, separate_hosts)
+        running = EdgeFleet(
+            pathlib.Path(directory), net, separate_hosts, extra_settings
+        )
         try:
             await running.start(hosts, targets)
             yield running
--- a/tests/fleet_slots.py
+++ b/tests/fleet_slots.py
@@ -15,10 +15,16 @@
 POLL_INTERVAL_S = 0.1
 
 
+def _try_acquire(port):
+    with contextlib.suppress(OSError):
+        return serving.bind_exclusive(SLOT_HOST, port)
+    return None
+
+
 def _try_acquire_slot():
     for port in SLOT_PORTS:
-        with contextlib.suppress(OSError):
-            return serving.bind_exclusive(SLOT_HOST, port)
+        if (slot := _try_acquire(port)) is not None:
+            return slot
     return None
 
 
@@ -29,3 +35,18 @@
         time.sleep(POLL_INTERVAL_S)
     with contextlib.closing(slot):
         yield
+
+
+@contextlib.contextmanager
+def hold_all_fleet_slots():
+    """Wait for all fleet slots, so that no other fleet runs meanwhile.
+
+    The slots are taken in order, so that two holders of all do not block each
+    other.
+    """
+    with contextlib.ExitStack() as stack:
+        for port in SLOT_PORTS:
+            while (slot := _try_acquire(port)) is None:
+                time.sleep(POLL_INTERVAL_S)
+            stack.enter_context(contextlib.closing(slot))
+        yield
