--- a/lavenderstile/edge/settings.py
+++ b/lavenderstile/edge/settings.py
@@ -37,13 +37,31 @@
     scope: Scope = Scope.DOMAIN
 
 
+def derive_balancing(scope, tolerated_losses):
+    """Return the `BalancingSettings` for texts; raises `ValueError`.
+
+    Without an explicit scope, domains are kept apart unless the deployment
+    does not have to tolerate the loss of one.
+    """
+    if scope is None:
+        is_shared = tolerated_losses and int(tolerated_losses) == 0
+        return BalancingSettings(Scope.FLEET if is_shared else Scope.DOMAIN)
+    try:
+        return BalancingSettings(Scope(scope))
+    except ValueError:
+        raise ValueError(
+            f'balancing.scope: {scope!r} is neither "domain" nor "fleet"'
+        ) from None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EdgeSettings:
     """Settings of one host.
 
     Listeners and the registry are `(ip, port)`; `address` and `seeds` are IP
     addresses of hosts. `stop_s` is the time from SIGTERM until the platform
-    kills the process.
+    kills the process. `max_connections` limits the connections that all
+    listeners together have; without it the limit of descriptors decides.
     """
 
     name: str
@@ -58,3 +76,12 @@
     stop_s: float
     limits: FleetLimits
     balancing: BalancingSettings = BalancingSettings()
+    max_connections: int | None = None
+
+    def __post_init__(self):
+        count = self.max_connections
+        if count is not None and (type(count) is not int or count < 1):
+            raise ValueError(
+                f'listeners.max_connections: {count!r} is not a whole number '
+                'of 1 or more'
+            )
--- a/lavenderstile/platform/settings.py
+++ b/lavenderstile/platform/settings.py
@@ -26,24 +26,6 @@
     )
 
 
-def _read_balancing(data):
-    """Return the `BalancingSettings`.
-
-    Without an explicit scope, domains are kept apart unless the deployment
-    does not have to tolerate the loss of one.
-    """
-    # A text, because the platform leaves out what it has no value for.
-    losses = str(data['fleet'].get('tolerated_domain_losses', ''))
-    default = 'fleet' if losses and int(losses) == 0 else 'domain'
-    scope = data.get('balancing', {}).get('scope', default)
-    try:
-        return edge_settings.BalancingSettings(edge_settings.Scope(scope))
-    except ValueError:
-        raise ValueError(
-            f'balancing.scope: {scope!r} is neither "domain" nor "fleet"'
-        ) from None
-
-
 def read_settings(text, source):
     """Return the `EdgeSettings` in a TOML text; raises `SettingsError`."""
     try:
@@ -65,7 +47,12 @@
             registry=_split_address(data['registry']['address']),
             stop_s=float(bounds.get('graceS', 6)),
             limits=_read_limits(bounds),
-            balancing=_read_balancing(data),
+            # A text, because the platform leaves out what it has no value for.
+            balancing=edge_settings.derive_balancing(
+                data.get('balancing', {}).get('scope'),
+                str(data['fleet'].get('tolerated_domain_losses', '')),
+            ),
+            max_connections=data.get('listeners', {}).get('max_connections'),
         )
     except KeyError as error:
         fault = f'{error.args[0]}: key is missing'
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -87,6 +87,32 @@
             self.read_scope('many')
 
 
+class ConnectionLimitTest(unittest.TestCase):
+    """Guards against a limit of connections that is not the one asked for."""
+
+    def read_limit(self, extra):
+        text = fill_template() + extra
+        return settings.read_settings(text, 'test').max_connections
+
+    def test_it_is_read(self):
+        self.assertEqual(
+            self.read_limit('[listeners]\nmax_connections = 64\n'), 64
+        )
+
+    def test_the_descriptors_decide_without_it(self):
+        self.assertIsNone(self.read_limit(''))
+
+    def test_one_that_is_no_number_is_named(self):
+        for value in ('0', '-1', '"many"', 'true', '1.5'):
+            with self.subTest(value=value):
+                with self.assertRaisesRegex(
+                    errors.SettingsError, 'max_connections'
+                ):
+                    self.read_limit(
+                        f'[listeners]\nmax_connections = {value}\n'
+                    )
+
+
 class FaultTest(unittest.TestCase):
     """Guards against errors that do not name the faulty setting."""
 
