Bound what clients can make the listeners hold

Clients that pipelined requests and read no response exhausted a host's memory: each connection parsed all that arrived, and the transport kept all responses.

A connection now reads 64 KB (and one read more) behind its running request and then pauses. Its next request waits while more than 64 KB of a response are unsent. A long response goes to the transport in pieces, so that it is held once. A paused transport does not notice that its caller leaves, so the state of the socket is checked every 0.2 s while a request runs.

All listeners of a host (callers, relay, readiness, control) share three counts:

- bytes read ahead or unsent, 36 MB: the connection that holds the most is closed, one whose client reads nothing before the others;
- request bodies and heads above 4 KB, 96 MB as before: now the largest incomplete request is refused instead of the one whose bytes come last, which was often an ordinary one;
- connections, two thirds of the descriptors without those for files: a new one replaces one that is far ahead, or the one without a running request whose last progress is the oldest.

Each limit that is reached is counted in lavenderstile_edge_listener_limits_total and logged once a second at most.

Connections read into one buffer of 64 KB per listener in place of a new one of 256 KB for each read. The rest of pipelined bytes was copied for each request to see whether it is empty; its length is counted instead once per request.

Ruled out: closing the transport in resume_writing. asyncio 3.11 then reports the end of the connection twice; a test with a half-closed slow reader showed it. Refusing new connections at the limit: a crowd of idle ones would keep all others out.

--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -32,6 +32,8 @@
 from . import target_pools
 from . import waiting as waiting_module
 from . import watcher_selection as watcher_selection_module
+from .listeners import limits
+from .listeners import resources
 
 # The load balancer in front of the hosts sends new connections until two
 # readiness probes, one a second, have failed.
@@ -189,12 +191,18 @@
         )
         self._mesh.apply_batch = self._watcher.apply_batch
         self._handler = handler_module.RequestHandler(self.parts)
-        body_buffer = callers.BodyBuffer()
+        self._listener_resources = resources.ListenerResources(
+            self._clock,
+            limits.make_limits(self._settings.max_connections),
+            self.parts.metrics,
+        )
         self._callers = callers.CallerServer(
-            self._clock, self._handler, body_buffer
+            self._clock, self._handler, self._listener_resources
         )
         self._relayed = callers.CallerServer(
-            self._clock, relay_module.RelayHandler(self._handler), body_buffer
+            self._clock,
+            relay_module.RelayHandler(self._handler),
+            self._listener_resources,
         )
         self._version = None
         self._targets = frozenset()
@@ -290,7 +298,9 @@
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         eliot.log_message('start', address=self._settings.address)
-        status = callers.CallerServer(self._clock, StatusHandler(self))
+        status = callers.CallerServer(
+            self._clock, StatusHandler(self), self._listener_resources
+        )
         await status.start(*self._settings.ready_listen)
         if self._settings.admin_listen is not None:
             await status.start(*self._settings.admin_listen)
--- /dev/null
+++ b/lavenderstile/edge/listeners/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what clients can make the listeners of a host hold."""
--- a/lavenderstile/edge/metrics.py
+++ b/lavenderstile/edge/metrics.py
@@ -34,6 +34,10 @@
         self._datagrams = self._counter(
             'edge_datagram_errors_total', 'Datagrams that were not delivered.'
         )
+        self._listener_limits = self._counter(
+            'edge_listener_limits_total',
+            'Times at which clients reached a limit of the listeners.',
+        )
         self._latency = aioprometheus.Histogram(
             'lavenderstile_edge_request_seconds',
             'Seconds from a request to the end of its answer, by outcome.',
@@ -79,6 +83,10 @@
         """Count a datagram that was not delivered."""
         self._datagrams.inc({})
 
+    def count_listener_limit(self, limit):
+        """Count that clients reached a limit of the listeners."""
+        self._listener_limits.inc({'limit': limit})
+
     def render(self):
         """Return (body, headers) for a scrape."""
         body, headers = aioprometheus.render(
--- a/tests/edge/test_callers.py
+++ b/tests/edge/test_callers.py
@@ -119,7 +119,7 @@
             reading = asyncio.create_task(caller.read_to_end())
             while not reading.done():
                 await asyncio.sleep(0)
-                sizes.append(self.server.buffer.size)
+                sizes.append(self.server.bodies.size)
             response = await reading
         self.assertTrue(response.startswith(b'HTTP/1.1 200'), response[:80])
         self.assertEqual(max(sizes), 60_000)
--- a/tests/edge/test_handler.py
+++ b/tests/edge/test_handler.py
@@ -10,9 +10,9 @@
 
 from emulator import registered_target as standin
 from emulator import registry_store
-from lavenderstile.edge import callers
 from lavenderstile.edge import directory
 from lavenderstile.edge import handler
+from lavenderstile.edge.listeners import connection
 from lavenderstile.platform import objects
 from tests.edge import edge_case
 
@@ -466,7 +466,7 @@
         await self.add_target()
         error = ArithmeticError('unexpected')
         with mock.patch.object(
-            callers.CallerConnection,
+            connection.CallerConnection,
             '_send_response',
             autospec=True,
             side_effect=error,
