Let the fault proxy keep its port while it refuses connections

Cause: FaultProxy.accept_again bound its ephemeral port again after the listener was closed. A second cause, found while reading CrashingRequestTest: two crashes of one target schedule accept_again twice, and the second bind met the proxy's own listener. Which of the two caused the failure of that test is not known; the other test calls accept_again once.

Change: a socket that is bound and does not listen holds the port as long as the proxy serves, so the kernel still refuses connections with a reset. The listeners share the port with it by SO_REUSEPORT. accept_again does nothing while the proxy accepts.

Ruled out: SO_REUSEADDR alone, as a socket bound with it could take the port while nothing listens there; accepting and resetting, as a connect would succeed and count as sent.

--- a/emulator/fault_proxy.py
+++ b/emulator/fault_proxy.py
@@ -25,6 +25,18 @@
     SILENT = 'silent'
 
 
+def _bind(address):
+    """Return a socket at an address that sockets of this function share.
+
+    The kernel gives such a port to no other socket: not to one that binds to
+    port 0 or connects, nor to one without this option.
+    """
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    bound.bind(address)
+    return bound
+
+
 class FaultProxy:
     """Forwards connections to one address, according to its mode.
 
@@ -38,7 +50,10 @@
         self.mode = Mode.PASS
         self._server_address = host, int(port)
         self._listener = None
+        self._is_accepting = False
         self._hanging_sockets = []
+        # Bound and not listening; keeps the port while the proxy refuses.
+        self._reservation = None
         self._listen_address = None
         self._connections = set()
         self._silenced = set()
@@ -106,11 +121,9 @@
     def hang(self):
         """Let open connections and attempts at new ones hang."""
         self.mode = Mode.SILENT
-        self._listener.close()
-        listener = socket.socket()
+        self.refuse()
+        listener = _bind(self._listen_address)
         self._hanging_sockets.append(listener)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(self._listen_address)
         listener.listen(0)
         # When its queue is full, the kernel drops further attempts.
         for _ in range(QUEUE_FILLERS):
@@ -121,26 +134,34 @@
 
     def refuse(self):
         """Refuse new connections; open ones live on."""
+        self._is_accepting = False
         self._listener.close()
 
     async def accept_again(self):
-        """Accept new connections again, at the same address."""
+        """Accept new connections again, at the same address.
+
+        A second listener would go on accepting after a refusal.
+        """
+        if self._is_accepting:
+            return
+        self._is_accepting = True
         self._listener = await asyncio.start_server(
-            self._serve, *self._listen_address
+            self._serve, sock=_bind(self._listen_address)
         )
+        if not self._is_accepting:
+            self._listener.close()
 
     @contextlib.asynccontextmanager
     async def serve(self):
         """Serve inside the running event loop; yield the address."""
-        self._listen_address = '127.0.0.1', 0
+        self._reservation = _bind(('127.0.0.1', 0))
+        host, port = self._listen_address = self._reservation.getsockname()
         await self.accept_again()
-        host, port = self._listener.sockets[0].getsockname()
-        self._listen_address = host, port
         try:
             yield f'{host}:{port}'
         finally:
             self._listener.close()
-            for hanging in self._hanging_sockets:
-                hanging.close()
+            for bound in (*self._hanging_sockets, self._reservation):
+                bound.close()
             self.reset()
             await asyncio.sleep(0)
