Fail responses of targets that are malformed or cut

Cause: a target that sends a response without a length, ends its stream and then resets the connection is read as an orderly end, as the kernel reports the end first and keeps the reset as the error of the socket. A target that has closed early is reset only by further bytes of the request, which the host no longer sent. Both gave callers a part of a response as a whole one. The parser accepts statuses up to 999 and any version of HTTP. A body after a 204 or 304 could be read as the response to the next request, which then failed.

Change: a response without a length is complete when the stream has ended, the socket has no error and the target has acknowledged the whole request; until then the rest of the request is written. So an early response of a target that ends only its own direction and reads on is delivered, which RFC 9112 (9.6) asks of servers; one that closes both directions early gets a reset from the rest, and its response is a failed attempt, since it can't be told from a cut one. An invalid status or version is a failed attempt. A connection is closed after a 204 or 304 that announces a body.

Ruled out: to fail each response that ends before the request is written, which would lose sound early refusals; to count FIN alone as an end, which is the fault. Not detectable: a target that ends its stream in the middle of such a response after it has received all of the request.

--- a/lavenderstile/edge/http_client.py
+++ b/lavenderstile/edge/http_client.py
@@ -1,7 +1,10 @@
 """HTTP/1.1 client connections to targets and to the registry."""
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 import h11
 
@@ -31,6 +34,14 @@
 MAX_SMALL_CHUNKS = 4096
 MEAN_CHUNK_BYTES = 16
 
+# Largest status code of a response (RFC 9110, section 15). The parser accepts
+# codes up to 999.
+MAX_STATUS = 599
+
+# Interval at which a request's unacknowledged bytes are looked up. The kernel
+# gives no notice when they have become none.
+ACKNOWLEDGEMENT_POLL_S = 0.005
+
 # Events of the parser in one step of the event loop. One read can hold tens of
 # thousands of chunks, and many targets may send such bodies at once.
 EVENTS_PER_STEP = 32
@@ -78,6 +89,19 @@
     """Do nothing."""
 
 
+def _has_ignored_body(head):
+    """Return whether a response announces a body that its status excludes.
+
+    If the target sends it nevertheless, it must not be read as the response
+    to the next request.
+    """
+    return head.status_code in (204, 304) and any(
+        name == b'transfer-encoding'
+        or (name == b'content-length' and int(value) > 0)
+        for name, value in head.headers
+    )
+
+
 class HttpConnection(asyncio.Protocol):
     """Carries one request at a time.
 
@@ -90,6 +114,7 @@
         '_response_head',
         '_closed',
         '_informational',
+        '_is_ending',
         '_is_sent',
         '_loop',
         '_memory',
@@ -126,6 +151,7 @@
         self._chunks = 0
         self._informational = 0
         self._is_at_end = False
+        self._is_ending = False
         self._is_sent = True
         self._resumed = None
         self._skipped = 0
@@ -255,7 +281,7 @@
         self._is_at_end = True
         if self._waiter is not None and not self._waiter.done():
             self._feed(b'')
-        return False
+        return self._is_ending
 
     def connection_lost(self, error):
         """Fail the request in flight."""
@@ -295,10 +321,23 @@
         match event:
             case h11.Response():
                 self._response_head = event
+                if (
+                    event.status_code > MAX_STATUS
+                    or not event.http_version.startswith(b'1.')
+                ):
+                    self.give_up(
+                        'response has an invalid status or version:'
+                        f' {event.status_code},'
+                        f' HTTP/{event.http_version.decode()}'
+                    )
+                    return False
             case h11.Data():
                 return self._handle_data(bytes(event.data))
             case h11.EndOfMessage():
-                self._complete_response()
+                if self._is_at_end:
+                    self._complete_at_end()
+                else:
+                    self._complete_response()
                 return False
             case h11.InformationalResponse():
                 self._informational += 1
@@ -326,6 +365,38 @@
         self._memory.add(self, len(data))
         return True
 
+    def _count_pending_bytes(self):
+        """Return the bytes of the request that the target has not received."""
+        unsent = self._transport.get_write_buffer_size()
+        found = fcntl.ioctl(
+            self.get_socket().fileno(), termios.TIOCOUTQ, struct.pack('i', 0)
+        )
+        return unsent + struct.unpack('i', found)[0]
+
+    def _complete_at_end(self):
+        """Complete a response without a length, whose end is the stream's.
+
+        A target may respond early and end only its own direction; it still
+        acknowledges the request. If its process has ended or has closed the
+        connection, the rest of the request is answered with a reset, and the
+        response may be cut. A reset after the end reads as an orderly end;
+        only the error of the socket shows it.
+        """
+        if self._waiter is None or self._waiter.done():
+            return
+        error = self.get_socket().getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        )
+        if error:
+            self.give_up(f'connection reset in a response: {error}', True)
+        elif self._is_sent and not self._count_pending_bytes():
+            self._complete_response()
+        else:
+            self._is_ending = True
+            self._loop.call_later(
+                ACKNOWLEDGEMENT_POLL_S, self._complete_at_end
+            )
+
     def _complete_response(self):
         response = HttpResponse(
             self._response_head.status_code,
@@ -343,6 +414,7 @@
             and self._parser.their_state is h11.DONE
             and self._is_sent
             and self._transport.get_write_buffer_size() == 0
+            and not _has_ignored_body(self._response_head)
         )
         if not is_clean:
             self.close()
