Refuse the method CONNECT on the users' platform

Cause: found while testing responses. A success to CONNECT turns the connection into a tunnel for the parser, so the response never ended: the caller got 504 at its deadline, and the target got two faults as silent, though it had answered. Any caller with a key could have all targets avoided.

Change: the handler refuses it with method_not_allowed (405), not run.

Ruled out: to give up such a response in the connection, which would still be a fault of a sound target.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -191,6 +191,12 @@
         metadata = self._header_codec.read_request(request.headers)
         if metadata.fault is not None:
             refusals.refuse(Reason.HEADER_INVALID, metadata.fault)
+        if request.method == 'CONNECT':
+            # A success would make the connection to the target a tunnel,
+            # whose response never ends.
+            refusals.refuse(
+                Reason.METHOD_NOT_ALLOWED, 'the method CONNECT is not served'
+            )
         route = configuration.find_route(
             request.host, request.path.partition('?')[0]
         )
--- a/lavenderstile/edge/log_search.py
+++ b/lavenderstile/edge/log_search.py
@@ -37,6 +37,7 @@
     'key_unknown': 'no workspace of the configuration has its key',
     'key_missing': 'it has no key but its route requires one',
     'route_unknown': 'no route of the configuration matches its host and path',
+    'method_not_allowed': 'hosts do not serve its method',
     'host_overloaded': 'the host could not serve it at this time',
     'header_invalid': 'its headers are invalid',
     'failure of the target': 'the target responded with an error status',
--- a/tests/edge/test_callers.py
+++ b/tests/edge/test_callers.py
@@ -137,6 +137,20 @@
         self.assertTrue(response.startswith(b'HTTP/1.1 200'), response)
         self.assertEqual(target.seen[0].path, '/read/1')
 
+    async def test_a_tunnel_is_refused(self):
+        """Guards against callers that make sound targets look silent.
+
+        The response of a target to CONNECT never ends.
+        """
+        target = await self.add_target()
+        async with self.connect() as caller:
+            caller.writer.write(HEAD.replace(b'POST', b'CONNECT') + b'\r\n')
+            async with asyncio.timeout(edge_case.LIMIT_S):
+                head = await caller.reader.readuntil(b'\r\n\r\n')
+        self.assertTrue(head.startswith(b'HTTP/1.1 405 '), head)
+        self.assertEqual(target.seen, [])
+        self.assertEqual(self.parts.reports.take()[0], [])
+
     async def test_pipelined_requests_are_answered_in_order(self):
         target = await self.add_target()
         async with self.connect() as caller:
