Add `explain routing`, which shows where a request would go

An operator could see from the logs where a request went, but not where one would go now, or why a target gets nothing.

Change: a host answers GET /explain on its control address, and the command `lavenderstile explain routing` asks it. The answer names the route, the workspace with the state of its rate, a refusal with status, reason, verdict and Retry-After, and for each service of the route the decision and the targets with the parts of their cost or the reason of their exclusion. Nothing is sent, taken or counted. A key is never in the answer; names that a host doesn't know are not repeated, as an operator may have typed a key.

Balancer.assess repeats the cost of choose; only lines are added there. One loop for both was ruled out: choose runs for each request, and its algorithm is being changed. A command of `python -m lavenderstile.platform` was ruled out, as the tool already has output, exit codes and the client, and `explain log` for these hosts.

--- a/lavenderstile/cli.py
+++ b/lavenderstile/cli.py
@@ -13,6 +13,7 @@
 from . import cli_hosts
 from . import cli_keys
 from . import cli_logs
+from . import cli_routing
 from . import errors
 
 COMMANDS = (
@@ -26,6 +27,7 @@
     cli_hosts.ExplainRequestCommand,
     cli_hosts.ExplainTargetCommand,
     cli_logs.ExplainLogCommand,
+    cli_routing.ExplainRoutingCommand,
     cli_hosts.DrainCommand,
     cli_hosts.VersionsCommand,
 )
--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -62,6 +62,26 @@
     """No target may receive the request."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assessment:
+    """What a target would cost a request, for explanations.
+
+    `parts` add up to the cost in seconds without its random part. A target
+    with an `exclusion` is not chosen; it counts as full for `full_s`, or has
+    to be left alone if that is infinite.
+    """
+
+    known: object
+    parts: dict[str, float]
+    exclusion: str | None
+    full_s: float
+
+    @property
+    def cost_s(self):
+        """The whole cost."""
+        return sum(self.parts.values())
+
+
 class ColdStartLimiter:
     """Limits the fleet's request rate to a target in cold start.
 
@@ -328,3 +348,66 @@
         configuration = self._directory.configuration
         found = configuration and configuration.services.get(service)
         return found.cold_rate if found else 1.0
+
+    def assess(self, service, now, kilobytes, is_idempotent, has_connection):
+        """Return an `Assessment` of each target that `choose` looks at.
+
+        It records no use and takes no token. It is slower than `choose`.
+        """
+        unused = self._find_unused(service, is_idempotent, now)
+        assessments = []
+        for known in self._directory.list_targets(service):
+            instance = known.target.instance
+            parts = self._list_cost_parts(known, now, kilobytes)
+            parts['health'] = self._health.get_penalty(
+                instance, is_idempotent, now
+            )
+            if instance in unused:
+                parts['unused'] = -UNUSED_BONUS_S
+            if not has_connection(instance):
+                parts['connect'] = CONNECT_PENALTY_S
+            exclusion, full_s = self._find_exclusion(known, parts['wait'], now)
+            assessments.append(Assessment(known, parts, exclusion, full_s))
+        return assessments
+
+    def _list_cost_parts(self, known, now, kilobytes):
+        target = known.target
+        running = self._estimate_running(target.instance, now)
+        latency_s = self._health.estimate_latency(
+            target.instance, target.service, now
+        )
+        waiting = max(0, running + 1 - target.slots)
+        parts = {
+            'wait': waiting * latency_s / target.slots,
+            'latency': latency_s,
+            'load': running / target.slots * 0.1 * latency_s,
+        }
+        if target.domain != self._fleet.domain:
+            parts['domain'] = (
+                CROSS_DOMAIN_PENALTY_S
+                + kilobytes * CROSS_DOMAIN_PENALTY_S_PER_KB
+            )
+        return parts
+
+    def _find_exclusion(self, known, wait_s, now):
+        """Return why a target is not chosen, or None, and for how long."""
+        target = known.target
+        cold_s = known.cold_until - now
+        if cold_s > 0 and not self._cold_start_limiter.may_send(
+            known, self._get_cold_rate(target.service), now
+        ):
+            return f'cold for {cold_s:.1f} s more', math.inf
+        limit_s = self._target_limits.get_wait(target, now)
+        pause_s = self._pauses.get_wait(target, now)
+        full_s = max(limit_s, pause_s)
+        if limit_s == math.inf:
+            return 'limited, and left to hosts of other domains', full_s
+        if pause_s:
+            return f'paused for {pause_s:.2f} s more', full_s
+        if limit_s:
+            return f'limited, free in {limit_s:.2f} s', full_s
+        running = self._estimate_running(target.instance, now)
+        if running + 1 - target.slots > QUEUE_PER_SLOT * target.slots:
+            detail = f'full: {running:.1f} requests at {target.slots} slots'
+            return detail, wait_s
+        return None, 0.0
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -10,11 +10,14 @@
 import msgspec
 
 from .. import clocks
+from .. import errors
 from . import balancing
 from . import budgets as budgets_module
 from . import callers
 from . import crash_guard
 from . import directory as directory_module
+from . import explainer as explainer_module
+from . import explanation
 from . import fleet as fleet_module
 from . import handler as handler_module
 from . import health as health_module
@@ -123,14 +126,18 @@
 
 
 class StatusHandler:
-    """Serves readiness, metrics and state to the platform and operators."""
+    """Serves readiness, metrics and state to the platform and operators.
+
+    Operators can also ask where a request would go.
+    """
 
     def __init__(self, host):
         self._host = host
 
     async def handle(self, request):
-        """Return readiness, metrics or the state of the process."""
-        match request.path.partition('?')[0]:
+        """Return readiness, metrics, the state, or an explanation."""
+        path, _, query = request.path.partition('?')
+        match path:
             case '/metrics':
                 body, headers = self._host.parts.metrics.render()
                 content_type = headers.get(
@@ -140,11 +147,14 @@
                     200, [(b'content-type', content_type)], body
                 )
             case '/state':
-                body = msgspec.json.encode(self._host.describe())
-                content_type = b'application/json'
-                return callers.CallerResponse(
-                    200, [(b'content-type', content_type)], body
-                )
+                return _make_json_response(self._host.describe())
+            case explanation.PATH:
+                try:
+                    return _make_json_response(self._host.explain(query))
+                except errors.QueryError as error:
+                    return callers.CallerResponse(
+                        400, (), f'{error}\n'.encode()
+                    )
         reason = self._host.find_unready_reason()
         if reason is None:
             return callers.CallerResponse(200, (), b'ready\n')
@@ -163,6 +173,14 @@
         return 1.0
 
 
+def _make_json_response(value):
+    return callers.CallerResponse(
+        200,
+        [(b'content-type', b'application/json')],
+        msgspec.json.encode(value),
+    )
+
+
 class Host:
     """A running host; `load_settings` returns the current settings."""
 
@@ -189,6 +207,7 @@
         )
         self._mesh.apply_batch = self._watcher.apply_batch
         self._handler = handler_module.RequestHandler(self.parts)
+        self._explainer = explainer_module.Explainer(self.parts)
         body_buffer = callers.BodyBuffer()
         self._callers = callers.CallerServer(
             self._clock, self._handler, body_buffer
@@ -241,6 +260,12 @@
             },
         }
 
+    def explain(self, text):
+        """Return where the request of a query string would go now."""
+        return self._explainer.explain(
+            explanation.parse_query(text), self.find_unready_reason()
+        )
+
     def _get_registry_outage(self, now):
         since = self._watcher.failing_since
         return None if since is None else round(now - since, 2)
--- a/lavenderstile/edge/rate_limits.py
+++ b/lavenderstile/edge/rate_limits.py
@@ -6,6 +6,8 @@
 until the refill has covered the excess.
 """
 
+import copy
+
 # Factor on the refill rate, so that a workspace at its limit loses nothing to
 # rounding. Reports from other hosts are late by less than this margin.
 HEADROOM = 1.04
@@ -123,11 +125,26 @@
             self._admitted[workspace] = self._admitted.get(workspace, 0) + 1
         return wait_s
 
+    def preview(self, workspace, now):
+        """Return what `take` and `describe` would, and change nothing.
+
+        The state is None for a workspace without a limit.
+        """
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            return 0.0, None
+        bucket = copy.copy(bucket)
+        wait_s = bucket.get_wait(now, self._share)
+        return wait_s, self._describe(workspace, bucket)
+
     def describe(self, workspace):
         """Return the state of a workspace's bucket, for the log."""
+        return self._describe(workspace, self._buckets[workspace])
+
+    def _describe(self, workspace, bucket):
         rate, burst = self._limits[workspace]
         return {
-            'level': round(self._buckets[workspace].level, 2),
+            'level': round(bucket.level, 2),
             'rate': rate,
             'burst': burst,
             'share': round(self._share, 3),
--- a/lavenderstile/errors.py
+++ b/lavenderstile/errors.py
@@ -31,6 +31,10 @@
     """A change ticket failed validation and was refused as a whole."""
 
 
+class QueryError(UserError):
+    """A query to a host is malformed."""
+
+
 class PeerError(LavenderstileError):
     """A peer host could not be reached or sent no usable response."""
 
