--- a/lavenderstile/edge/listeners/limits.py
+++ b/lavenderstile/edge/listeners/limits.py
@@ -26,6 +26,9 @@
 # Of the process's descriptors, the number that is for files.
 FILE_DESCRIPTORS = 200
 
+# Taken as the limit of descriptors where the process has none.
+UNLIMITED_DESCRIPTORS = 65536
+
 # Share of the other descriptors that is for the connections of clients. The
 # rest is for targets: one for each running request, more for hedged ones and
 # for idle connections.
@@ -55,5 +58,7 @@
     """Return the limits; the process's descriptors set the connections."""
     if connections is None:
         soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft_limit == resource.RLIM_INFINITY:
+            soft_limit = UNLIMITED_DESCRIPTORS
         connections = derive_connections(soft_limit)
     return ListenerLimits(connections)
