Choose targets by room with scope fleet

Hosts with the same knowledge took the same target, the one of lowest cost, and overran targets in turns beside idle slots. A choice walked over all targets of a service.

With scope fleet, a host now takes the best of two targets with a free slot that it draws at random from those proven healthy. The load of a target without a recent report counts as that of its service and domain, not as zero. Targets of other domains and less proven ones are considered when the own domain has only queues or slow targets. Unused targets come from the same walk as before, at most every 1 ms for each target of the service (250 ms at most).

Ruled out: the latency divided by the queue at the target as the work of a request.

With scope domain the code of the choice is the same.

--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -227,6 +227,12 @@
         """Record a peer's report of the load from other domains."""
         self._remote_load[instance] = (remote, now)
 
+    def record_rejection(self, instance, service, now):
+        """Record that a target has turned a request away."""
+
+    def describe_room(self, target, now):
+        """Return the room of a target for operators, or None if not kept."""
+
     def _estimate_running(self, instance, now):
         running = self.get_running(instance)
         remote, at = self._remote_load.get(instance, (0, 0.0))
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -28,10 +28,12 @@
 from . import rate_limits as rate_limits_module
 from . import registry
 from . import relay as relay_module
+from . import settings as settings_module
 from . import target_limits as target_limits_module
 from . import target_pools
 from . import waiting as waiting_module
 from . import watcher_selection as watcher_selection_module
+from .room import fleet_balancer
 
 # The load balancer in front of the hosts sends new connections until two
 # readiness probes, one a second, have failed.
@@ -102,7 +104,7 @@
             self.directory, self.fleet
         )
         self.pauses = pauses_module.TargetPauses()
-        self.balancer = balancing.Balancer(
+        self.balancer = self._get_balancer_maker(settings.balancing.scope)(
             self.directory,
             self.fleet,
             self.health,
@@ -121,6 +123,15 @@
             clock, self.fleet, settings.peer_port
         )
 
+    def _get_balancer_maker(self, scope):
+        match scope:
+            case settings_module.Scope.DOMAIN:
+                return balancing.Balancer
+            case settings_module.Scope.FLEET:
+                return functools.partial(
+                    fleet_balancer.FleetBalancer, metrics=self.metrics
+                )
+
 
 class StatusHandler:
     """Serves readiness, metrics and state to the platform and operators."""
@@ -231,6 +242,7 @@
                     'service': known.target.service,
                     'domain': known.target.domain,
                     'running': parts.balancer.get_running(instance),
+                    'room': parts.balancer.describe_room(known.target, now),
                     'avoided': parts.health.is_avoided(instance, now),
                     'draining': not known.takes_requests,
                     'cold_s': max(0.0, known.cold_until - now),
--- a/lavenderstile/edge/metrics.py
+++ b/lavenderstile/edge/metrics.py
@@ -34,6 +34,14 @@
         self._datagrams = self._counter(
             'edge_datagram_errors_total', 'Datagrams that were not delivered.'
         )
+        self._choices = self._counter(
+            'edge_choices_total',
+            'Choices of a target by service and kind, with scope fleet.',
+        )
+        self._beside_idle = self._counter(
+            'edge_rejections_beside_idle_total',
+            'Rejections by a target while another had a free slot.',
+        )
         self._latency = aioprometheus.Histogram(
             'lavenderstile_edge_request_seconds',
             'Seconds from a request to the end of its answer, by outcome.',
@@ -75,6 +83,14 @@
         """Count a call to the registry."""
         self._calls.inc({'result': result})
 
+    def count_choice(self, service, kind):
+        """Count a choice of a target."""
+        self._choices.inc({'service': service, 'kind': kind})
+
+    def count_rejection_beside_idle(self, service):
+        """Count a rejection while another target had a free slot."""
+        self._beside_idle.inc({'service': service})
+
     def count_datagram_error(self):
         """Count a datagram that was not delivered."""
         self._datagrams.inc({})
--- a/lavenderstile/edge/target_sender.py
+++ b/lavenderstile/edge/target_sender.py
@@ -261,6 +261,7 @@
         )
         if metadata.not_run:
             self._record_fault(instance, FaultKind.SHED)
+            self._balancer.record_rejection(instance, call.service, now)
             return Rejected(f'{instance}: rejected with {response.status}')
         is_success = 200 <= response.status < 300
         if (is_success and not metadata.is_signed) or metadata.is_encoded:
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -111,7 +111,13 @@
     """A balancer with its dependencies and a virtual clock."""
 
     def __init__(
-        self, targets, address='10.1.0.1', domain='a', rng=None, **changes
+        self,
+        targets,
+        address='10.1.0.1',
+        domain='a',
+        rng=None,
+        make_balancer=balancing.Balancer,
+        **changes,
     ):
         self.clock = clocks.VirtualClock()
         now = self.clock.now()
@@ -125,7 +131,7 @@
         self.pauses = pauses.TargetPauses()
         for target in targets:
             self.health.add(target.instance, False, now)
-        self.balancer = balancing.Balancer(
+        self.balancer = make_balancer(
             self.directory,
             self.fleet,
             self.health,
