--- a/tests/edge/test_host.py
+++ b/tests/edge/test_host.py
@@ -4,7 +4,12 @@
 import unittest
 from unittest import mock
 
+from lavenderstile.edge import balancing
+from lavenderstile.edge import directory
 from lavenderstile.edge import host
+from lavenderstile.edge.room import fleet_balancer
+from lavenderstile.edge import settings
+from tests.edge import builders
 from tests.edge import edge_case
 
 
@@ -26,6 +31,37 @@
         self.assertEqual(clients, [('127.0.0.1', 1), ('127.0.0.1', 2)])
 
 
+class ScopeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a scope that does not change the choice of targets.
+
+    Also against one that changes it where no deployment asks for it.
+    """
+
+    def describe(self, scope):
+        """Return the balancer of a host and its state of one target."""
+        loaded = edge_case.make_settings(
+            balancing=settings.BalancingSettings(scope)
+        )
+        subject = host.Host(lambda: loaded, None, lambda *_: mock.Mock())
+        subject.parts.directory.apply_snapshot(
+            directory.Snapshot(
+                1, None, (builders.make_target('i-0'),), frozenset()
+            ),
+            0.0,
+        )
+        return subject.parts.balancer, subject.describe()['targets']['i-0']
+
+    async def test_scope_fleet_chooses_by_room(self):
+        balancer, state = self.describe(settings.Scope.FLEET)
+        self.assertIs(type(balancer), fleet_balancer.FleetBalancer)
+        self.assertEqual(state['room']['free'], 3)
+
+    async def test_scope_domain_chooses_by_cost(self):
+        balancer, state = self.describe(settings.Scope.DOMAIN)
+        self.assertIs(type(balancer), balancing.Balancer)
+        self.assertIsNone(state['room'])
+
+
 class BackgroundTaskTest(unittest.IsolatedAsyncioTestCase):
     """Guards against an error in one task that ends the whole process."""
 
