--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -4,6 +4,7 @@
 import math
 
 from .. import balancing
+from .. import health
 from .. import metrics as metrics_module
 from . import pools
 from . import rooms
@@ -42,8 +43,9 @@
 MAX_UNUSED = 4
 
 # A target whose penalty is at most this is proven healthy: it responded
-# within about two seconds.
-PROVEN_PENALTY_S = balancing.DOUBT_PROBABILITY * 0.8
+# within about two seconds. A smaller limit leaves so few targets that hosts
+# with the same knowledge meet at the one that responded last.
+PROVEN_PENALTY_S = balancing.DOUBT_PROBABILITY * health.FAILURE_COST_S
 
 # The walks over all targets of a service for unused ones are this far apart
 # for each target, so that their cost does not grow with the service. The
