Draw targets of other domains from the proven ones first

With an empty or full own domain a request considered three random targets of the other domains, proven or not, and could miss the proven ones. The proven subset now exists for the other domains too, and unproven targets are drawn only if it has not enough free slots. The test (40 targets of another domain, 2 proven) was written with the change; its run on the code before is not recorded.

--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -33,10 +33,10 @@
 # Noise of the cost; without it, the worst of equal targets would get nothing.
 NOISE_S = 0.01
 
-# Targets that each choice checks for the proven subset, in turn, and one after
-# a time without choices.
-CHECKED_PER_CHOICE = 4
-MAX_CHECKED = 32
+# Targets of each pool that each choice checks for the proven subset, in turn,
+# and one after a time without choices.
+CHECKED_PER_CHOICE = 3
+MAX_CHECKED = 24
 CHECK_INTERVAL_S = 0.1
 
 # Unused targets to look at in one choice.
@@ -190,7 +190,9 @@
         target = known.target
         if remote is not None:
             self._rooms.record(target, remote, now)
-        self._get_pools(target.service).own.add_proven(instance)
+        found = self._get_pools(target.service)
+        found.own.add_proven(instance)
+        found.others.add_proven(instance)
 
     def record_rejection(self, instance, service, now):
         """Count a rejection if another target seems to have a free slot."""
@@ -256,7 +258,10 @@
         proven = search.best
         base_s = FAST_SHARE * self._health.get_mean_latency(search.service)
         if search.score > base_s + search.domain_cost_s:
-            self._try_all(search, found.others.draw(REMOTE_DRAWS))
+            # Few of the other domains' targets are proven, because the own
+            # domain seldom uses them.
+            if not self._try_proven(search, found.others):
+                self._try_all(search, found.others.draw(REMOTE_DRAWS))
         # Less proven targets are an alternative to a queue or another domain,
         # at the cost of their doubt, but never to a free slot that was not
         # drawn.
@@ -321,7 +326,10 @@
         ]
 
     def _try_proven(self, search, pool):
-        """Consider proven targets until enough of them have a free slot."""
+        """Consider proven targets until enough of them have a free slot.
+
+        Returns whether there were enough.
+        """
         left = self._samples
         stale = []
         for instance in pool.draw_proven(MAX_DRAWS):
@@ -337,6 +345,7 @@
                     break
         for instance in stale:
             pool.remove_proven(instance)
+        return not left
 
     def _try_all(self, search, instances):
         for instance in instances:
@@ -409,10 +418,11 @@
         if now - found.checked_at > CHECK_INTERVAL_S:
             count = MAX_CHECKED
         found.checked_at = now
-        for instance in found.own.next_members(count):
-            penalty_s = self._health.get_penalty(instance, False, now)
-            if penalty_s <= PROVEN_PENALTY_S:
-                found.own.add_proven(instance)
+        for pool in (found.own, found.others):
+            for instance in pool.next_members(count):
+                penalty_s = self._health.get_penalty(instance, False, now)
+                if penalty_s <= PROVEN_PENALTY_S:
+                    pool.add_proven(instance)
 
     def _is_own(self, target):
         return target.domain == self._fleet.domain
--- a/tests/edge/even_load.py
+++ b/tests/edge/even_load.py
@@ -88,15 +88,15 @@
             )
         ]
         if not any(weights):
-            super()._try_proven(search, pool)
-            return
+            return super()._try_proven(search, pool)
         for known in self._random.choices(proven, weights, k=4):
             penalty_s = self._health.get_penalty(
                 known.target.instance, False, search.now
             )
             if penalty_s <= fleet_balancer.PROVEN_PENALTY_S:
                 if self._consider(search, known, penalty_s) is not None:
-                    return
+                    return True
+        return False
 
 
 def draw(samples):
--- a/tests/edge/test_even_load.py
+++ b/tests/edge/test_even_load.py
@@ -192,6 +192,18 @@
             chosen.append(host.choose_instance())
         self.assertEqual(set(chosen[20:]), {'i-9'})
 
+    def test_other_domains_are_drawn_from_their_proven_targets(self):
+        """Load pattern: the own domain is empty, few others are proven."""
+        targets = make_targets(40, domain='b', slots=40)
+        host = make_fixture(targets)
+        for _ in range(50):
+            host.clock.advance(0.01)
+            host.record_successes('i-3', 'i-4')
+            now = host.clock.now()
+            host.balancer.record_load('i-3', (1, 0), now)
+            host.balancer.record_load('i-4', (1, 0), now)
+            self.assertIn(host.choose_instance(), {'i-3', 'i-4'})
+
     def test_an_evacuated_target_is_not_drawn(self):
         """Guards against late responses that bring a target back."""
         targets = [*make_targets(2), *make_targets(2, 'r', domain='b')]
