Look at fewer targets when no slot is free

A choice of a full service looked at up to 26 targets outside its walks. It now looks at 8 proven ones of each place.

--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -16,10 +16,10 @@
 
 # Targets to look at for these, before the choice takes a queue or walks over
 # all targets.
-MAX_DRAWS = 10
+MAX_DRAWS = 8
 
 # Targets to look at among those that are not proven.
-UNPROVEN_DRAWS = 6
+UNPROVEN_DRAWS = 4
 
 # Targets of other domains to look at, if a choice considers them at all. Their
 # share of the requests costs bandwidth.
--- a/tests/edge/even_load.py
+++ b/tests/edge/even_load.py
@@ -76,6 +76,8 @@
     __slots__ = ()
 
     def _try_proven(self, search, pool):
+        if pool is not self._pools[SERVICE].own:
+            return super()._try_proven(search, pool)
         proven = [
             self._directory.targets[instance]
             for instance in pool.draw_proven(1000)
