Space the walks over a full service by looks

The walks for the last free slot were spaced by time, so that a host with few requests walked in each choice. They are now spaced by looks and by two seconds.

--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -53,9 +53,11 @@
 UNUSED_WALK_S_PER_TARGET = 0.001
 MAX_UNUSED_WALK_S = 0.25
 
-# The same for walks that look for the last free slot of a full service, after
-# the draws have found none.
-FULL_WALK_S_PER_TARGET = 0.002
+# After a walk has found a service full, one look for each of this many targets
+# is left to the draws, for a limited time. A request that waits looks about
+# 30 times a second.
+TARGETS_PER_LOOK = 16
+FULL_WALK_INTERVAL_S = 2.0
 
 
 class ChoiceKind(enum.Enum):
@@ -78,6 +80,7 @@
         'checked_at',
         'full_until',
         'full_wait_s',
+        'looks_left',
         'others',
         'own',
         'source',
@@ -90,6 +93,7 @@
         self.checked_at = 0.0
         self.full_until = 0.0
         self.full_wait_s = math.inf
+        self.looks_left = 0
         self._places = None
 
     def update(self, targets, domain):
@@ -357,14 +361,16 @@
 
     def _walk(self, search, found):
         """Consider all targets, unless a walk just found them full."""
-        if search.now < found.full_until and len(found.source) > MAX_DRAWS:
+        found.looks_left -= 1
+        if found.looks_left >= 0 and search.now < found.full_until:
             search.full_wait_s = min(search.full_wait_s, found.full_wait_s)
             return
         names = [known.target.instance for known in found.source]
         self._try_all(search, names)
         if search.best is None and not search.excluded:
             found.full_wait_s = search.full_wait_s
-            found.full_until = search.now + FULL_WALK_S_PER_TARGET * len(names)
+            found.full_until = search.now + FULL_WALK_INTERVAL_S
+            found.looks_left = len(names) // TARGETS_PER_LOOK
 
     def _consider(self, search, known, penalty_s):
         """Take a target if it is better; return its room if it has some."""
