--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -39,6 +39,7 @@
 from .evidence import notices as notices_module
 from .listeners import limits
 from .listeners import resources
+from .room import fleet_balancer
 
 # The load balancer in front of the hosts sends new connections until two
 # readiness probes, one a second, have failed.
@@ -120,7 +121,7 @@
             self.directory, self.fleet
         )
         self.pauses = pauses_module.TargetPauses()
-        self.balancer = balancing.Balancer(
+        self.balancer = self._get_balancer_maker(settings.balancing.scope)(
             self.directory,
             self.fleet,
             self.health,
@@ -128,7 +129,6 @@
             self.target_limits,
             self.pauses,
             settings.limits.floor_share,
-            is_pooled=is_pooled,
         )
         self.budgets = budgets_module.Budgets(settings.limits, clock.now())
         self.pools = target_pools.TargetPools(clock)
@@ -140,6 +140,15 @@
             clock, self.fleet, settings.peer_port
         )
 
+    def _get_balancer_maker(self, scope):
+        match scope:
+            case settings_module.Scope.DOMAIN:
+                return balancing.Balancer
+            case settings_module.Scope.FLEET:
+                return functools.partial(
+                    fleet_balancer.FleetBalancer, metrics=self.metrics
+                )
+
 
 class StatusHandler:
     """Serves readiness, metrics and state to the platform and operators.
@@ -272,6 +281,7 @@
                     'service': known.target.service,
                     'domain': known.target.domain,
                     'running': parts.balancer.get_running(instance),
+                    'room': parts.balancer.describe_room(known.target, now),
                     'avoided': parts.health.is_avoided(instance, now),
                     'draining': not known.takes_requests,
                     'cold_s': max(0.0, known.cold_until - now),
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -16,6 +16,7 @@
 from . import health as health_module
 from . import messages
 from . import target_limits
+from .evidence import notices as notices_module
 
 # Minimum time between two updates to the domain.
 UPDATE_INTERVAL_S = 0.012
@@ -59,13 +60,13 @@
 
     __slots__ = ('_faults', '_notices', '_successes', 'schedule_update')
 
-    def __init__(self, notices):
-        self._notices = notices
+    def __init__(self, notices=None):
+        self._notices = notices or notices_module.FaultNotices(False)
         self._faults = []
         self._successes = {}
         self.schedule_update = _ignore
 
-    def add_fault(self, instance, kind, is_new):
+    def add_fault(self, instance, kind, is_new=False):
         """Report that a target failed a request.
 
         Other domains are told if it is avoided from now on (`is_new`).
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -116,14 +116,18 @@
         address='10.1.0.1',
         domain='a',
         rng=None,
-        is_pooled=False,
+        make_balancer=balancing.Balancer,
         **changes,
     ):
         self.clock = clocks.VirtualClock()
         now = self.clock.now()
         self.directory = make_directory(targets, now, **changes)
         self.fleet = fleet.Fleet(address, domain, 1)
-        self.health = health.HealthTracker()
+        self.health = health.HealthTracker(
+            health.SEPARATE_COSTS
+            if make_balancer is balancing.Balancer
+            else health.POOLED_COSTS
+        )
         self.outcomes = outcomes.Outcomes()
         self.target_limits = target_limits.TargetLimits(
             self.directory, self.fleet
@@ -131,7 +135,7 @@
         self.pauses = pauses.TargetPauses()
         for target in targets:
             self.health.add(target.instance, False, now)
-        self.balancer = balancing.Balancer(
+        self.balancer = make_balancer(
             self.directory,
             self.fleet,
             self.health,
@@ -140,7 +144,6 @@
             self.pauses,
             0.7,
             rng,
-            is_pooled,
         )
 
     def record_successes(self, *instances):
--- a/tests/edge/evidence/test_notices.py
+++ b/tests/edge/evidence/test_notices.py
@@ -5,6 +5,7 @@
 from lavenderstile.edge import balancing
 from lavenderstile.edge import health
 from lavenderstile.edge import messages
+from lavenderstile.edge.room import fleet_balancer
 from tests.edge import builders
 from tests.edge import test_mesh
 
@@ -140,7 +141,12 @@
     def make_failing(self, is_pooled):
         """Return a fixture with a failing service and one failed target."""
         targets = [builders.make_target(f'i-{n}') for n in range(3)]
-        fixture = builders.BalancerFixture(targets, is_pooled=is_pooled)
+        fixture = builders.BalancerFixture(
+            targets,
+            make_balancer=fleet_balancer.FleetBalancer
+            if is_pooled
+            else balancing.Balancer,
+        )
         fixture.record_successes('i-0', 'i-1', 'i-2')
         now = fixture.clock.now()
         fixture.outcomes.record('ledger', 100, 30, now)
@@ -160,6 +166,20 @@
         fixture.clock.advance(1.2)
         fixture.record_successes('i-0', 'i-1')
         fixture.outcomes.record('ledger', 100, 30, fixture.clock.now())
+        chosen = fixture.choose_instance(is_idempotent=True)
+        self.assertEqual(chosen, 'i-2')
+
+    def test_idempotent_requests_test_it_first(self):
+        """Guards against orders that are lost in a test of the target.
+
+        A read that meets a failing target can be sent again.
+        """
+        fixture = self.make_failing(is_pooled=True)
+        fixture.clock.advance(1.2)
+        fixture.record_successes('i-0', 'i-1')
+        self.assertNotEqual(fixture.choose_instance(), 'i-2')
+        fixture.clock.advance(0.5)
+        fixture.record_successes('i-0', 'i-1')
         self.assertEqual(fixture.choose_instance(), 'i-2')
 
     def test_one_that_was_in_doubt_before_is_left_alone_for_longer(self):
