Free the bytes of closed connections at once

With 1,000 connections that each pipeline 256 KB and read nothing, a host grew by 127 and 131 MB although it counted 36 MB at most: the objects of a closed connection refer to each other, so that its bytes stayed until a garbage collection. A connection that is given up, lost or refused now drops its parser and its output itself.

Ruled out: collecting garbage at the limit, which stops the event loop.

--- a/lavenderstile/edge/listeners/connection.py
+++ b/lavenderstile/edge/listeners/connection.py
@@ -55,6 +55,7 @@
         '_closes_when_sent',
         '_holds_next',
         '_is_counted',
+        '_is_lost',
         '_is_refused',
         '_linger_until',
         '_output',
@@ -78,6 +79,7 @@
         self._body = bytearray()
         self._output = None
         self._is_refused = False
+        self._is_lost = False
         self._closes_when_sent = False
         # Whether the next request waits until the caller reads the response.
         self._holds_next = False
@@ -143,8 +145,7 @@
     def connection_lost(self, error):
         """Cancel the running request of a caller that has disconnected."""
         self._server.discard(self)
-        self._release_body()
-        self._output.drop()
+        self._forget()
         if self._task is not None:
             self._task.cancel()
 
@@ -186,6 +187,8 @@
             return
         self._output.resume()
         self._count_held()
+        if self._is_lost:
+            return
         if self._holds_next and not self._output.is_blocked:
             self._holds_next = False
             self._begin_next()
@@ -230,6 +233,8 @@
                 )
                 if self._request.head_memory > limits_module.SMALL_HEAD_BYTES:
                     self._server.bodies.add(self, self._request.head_memory)
+                    if self._is_refused:
+                        return True
                 if self._parser.they_are_waiting_for_100_continue:
                     self._send(
                         h11.InformationalResponse(status_code=100, headers=[])
@@ -241,6 +246,8 @@
                 self._server.bodies.complete(self)
                 self._ahead = len(self._parser.trailing_data[0])
                 self._count_held()
+                if self._is_lost:
+                    return False
                 loop = asyncio.get_running_loop()
                 self._task = loop.create_task(self._run(self._request))
                 return False
@@ -314,6 +321,18 @@
     def give_up(self):
         """Close the connection at once, as a limit of the host is reached."""
         self._transport.abort()
+        self._forget()
+
+    def _forget(self):
+        """Free what the connection holds, before its objects are collected.
+
+        They refer to each other, so that they stay until the next collection.
+        """
+        self._is_refused = True
+        self._is_lost = True
+        self._parser = None
+        self._release_body()
+        self._output.drop()
 
     async def _run(self, request):
         try:
@@ -332,6 +351,8 @@
             self._transport.abort()
 
     def _send_response(self, response, request):
+        if self._is_lost:
+            return
         self._release_body()
         headers = list(response.headers)
         if self._server.is_stopping:
@@ -350,11 +371,13 @@
             body,
             h11.EndOfMessage(),
         )
-        self._count_held()
         self._task = None
         self._request = None
         self.request_started_at = None
         self.idle_since = self._server.now()
+        self._count_held()
+        if self._is_lost:
+            return
         if self._parser.our_state is not h11.DONE or (
             self._parser.their_state is not h11.DONE
         ):
@@ -413,6 +436,8 @@
                 response.body,
                 h11.EndOfMessage(),
             )
+        # It may hold the rest of a read, which is discarded.
+        self._parser = None
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._linger_until = self._server.now() + LINGER_S
@@ -421,6 +446,8 @@
         """Close or refuse if a time limit of the connection has passed."""
         if self._is_counted:
             self._count_held()
+        if self._is_lost:
+            return
         if self._linger_until is not None:
             if now >= self._linger_until:
                 self._transport.abort()
--- a/tests/edge/test_listener_connections.py
+++ b/tests/edge/test_listener_connections.py
@@ -229,6 +229,7 @@
 
     async def test_the_host_closes_connections_at_its_limit(self):
         await self.add_target()
+        seen = set()
         async with contextlib.AsyncExitStack() as stack:
             for _ in range(12):
                 client = stack.enter_context(self.connect_raw())
@@ -237,8 +238,15 @@
                 self.assertLessEqual(
                     self.resources.held.total, self.LIMITS.held_bytes
                 )
+                seen |= self.server._connections
             self.assertGreaterEqual(self.count_limit('held_bytes'), 1)
             status, _, _ = await self.request('/read/1')
+            # Closed connections must not keep their bytes until a collection.
+            closed = seen - self.server._connections
+            self.assertTrue(closed)
+            self.assertEqual(
+                {closed_one._parser for closed_one in closed}, {None}
+            )
         self.assertEqual(status, 200)
 
     async def test_incomplete_heads_count(self):
