Test a leaving caller without the time limit of its request

The test also passed with the check of the socket's state disabled: the request ended by its route's limit of 5 s, and up to 64 KB of its bytes could keep the end of the connection from the host's kernel. The limit is now longer than the test, and exactly as many bytes are sent as pause the host.

--- a/tests/edge/test_listener_connections.py
+++ b/tests/edge/test_listener_connections.py
@@ -5,6 +5,7 @@
 import socket
 
 from emulator import registered_target
+from emulator import registry_store
 from lavenderstile.edge import callers
 from lavenderstile.edge.listeners import limits
 from lavenderstile.edge.listeners import resources
@@ -106,14 +107,21 @@
     async def test_a_caller_that_leaves_is_noticed_behind_the_limit(self):
         """Guards against work for a caller whose connection is not read."""
         target = await self.add_target(registered_target.hang)
+        # The time limit of the request must not end it before this test does.
+        data = registry_store.describe_configuration(2)
+        for rule in data['listeners'][0]['rules']:
+            rule['action']['timeoutS'] = 2 * edge_case.LIMIT_S
+        self.configure(data)
         with self.connect_raw() as client:
             # As much as pauses the host, and no more, so that the end of the
             # connection reaches the host's kernel.
-            data = REQUEST % 0 + b'x' * MOST_AHEAD
+            data = REQUEST % 0 + b'x' * limits.READ_AHEAD_BYTES
             await self.send_until_blocked(client, data)
             await self.wait_until(lambda: target.seen)
             (connection,) = self.server._connections
-            self.assertFalse(connection._transport.is_reading())
+            await self.wait_until(
+                lambda: not connection._transport.is_reading()
+            )
         async with asyncio.timeout(edge_case.LIMIT_S):
             await self.wait_until(lambda: target.aborted)
         await self.wait_until(lambda: not self.server.open_count)
