Leave the queues of targets to the most urgent kind

Writes (objective 1 s) stood behind reads (objective 4 s) that had time, and 72 of 833 of their callers left.

Change, with scope "fleet" only: where routes with different objectives lead to a service, requests of a longer objective are deferrable. They take free slots, and places at a target only as far as they delay a request of the shortest objective by a quarter of it; the rest waits at the host, until the latest start within its time. Requests of the shortest objective do not wait for deferrable ones, which cannot use the places that are left. Hosts report deferrable requests under their priority plus 2**33, so that no message gets a field; an older build takes them for the least urgent ones. A service with one kind stays as it is, and so does scope "domain". edge/waiting.py moves to edge/admission/.

--- /dev/null
+++ b/lavenderstile/edge/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control: queues and refusals of requests without a slot."""
--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -259,12 +259,20 @@
         )
 
     def choose(
-        self, service, now, kilobytes, is_idempotent, excluded, has_connection
+        self,
+        service,
+        now,
+        kilobytes,
+        is_idempotent,
+        excluded,
+        has_connection,
+        queue_per_slot=QUEUE_PER_SLOT,
     ):
         """Return `Chosen`, `Full` or `NoTarget` for a request.
 
         `excluded` are the instances already tried.
         `has_connection(instance)` says whether an idle connection exists.
+        At most `queue_per_slot` requests may wait at a target, per slot.
         """
         best = None
         best_score = None
@@ -294,7 +302,7 @@
             latency_s = self._health.estimate_latency(instance, service, now)
             waiting = running + 1 - target.slots
             wait_s = max(0, waiting) * latency_s / target.slots
-            if waiting > QUEUE_PER_SLOT * target.slots:
+            if waiting > queue_per_slot * target.slots:
                 shortest_full_wait_s = min(shortest_full_wait_s, wait_s)
                 continue
             score = (
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -1,6 +1,7 @@
 """View of the other hosts: their liveness, load and admitted requests."""
 
 import dataclasses
+import math
 
 
 # A host without contact for longer than this counts as lost; it is the time of
@@ -149,10 +150,13 @@
         """Return the requests in flight from the domain's other hosts."""
         return self._running.get(instance, 0)
 
-    def has_more_urgent(self, service, priority):
-        """Return whether a more urgent request waits at a peer."""
+    def has_more_urgent(self, service, priority, lowest=-math.inf):
+        """Return whether a more urgent request waits at a peer.
+
+        Requests with a priority below `lowest` are ignored.
+        """
         return any(
-            waiting < priority
+            lowest <= waiting < priority
             for peer in self._peers.values()
             if peer.waiting
             for waiting in peer.waiting.get(service, ())
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -36,10 +36,9 @@
 # do not count as attempts.
 MAX_CONNECT_FAILURES = 3
 
-# Share of its remaining time that a request may wait for a target with a free
-# slot. It looks for one when an event may have freed a slot, and at this
-# interval, because blocks and load reports expire without an event.
-MAX_WAIT_SHARE = 0.3
+# A waiting request looks for a target with a free slot when an event may have
+# freed one, and at this interval, because blocks and load reports expire
+# without an event.
 WAIT_POLL_INTERVAL_S = 0.03
 
 # Retry-After if only a change of the targets can provide a free slot.
@@ -74,6 +73,7 @@
         self._guard = parts.guard
         self._reports = parts.reports
         self._waiting = parts.waiting
+        self._kind_urgency = parts.kind_urgency
         self._metrics = parts.metrics
         self._sender = target_sender.TargetSender(parts)
         self._random = random.Random()
@@ -366,14 +366,19 @@
 
     async def _find_target(self, call):
         """Return the target to send to, after a wait for a slot if needed."""
-        if not self._waiting.must_yield(call.service, call.priority):
+        is_deferrable = self._is_deferrable(call)
+        if not self._waiting.must_yield(
+            call.service, call.priority, is_deferrable
+        ):
             known = self._try_find_target(call)
             if known is not None:
                 return known
         now = self._clock.now()
         remaining_s = call.deadline - now
         if call.wait_deadline is None:
-            call.wait_deadline = now + MAX_WAIT_SHARE * remaining_s
+            call.wait_deadline = now + self._kind_urgency.get_longest_wait(
+                call.service, call.route, remaining_s
+            )
         with self._queue(call, now) as entry:
             while not self._waiting.is_next(entry, self._clock.now()) or (
                 (known := self._try_find_target(call)) is None
@@ -398,6 +403,7 @@
             call.workspace and call.workspace.name,
             now,
             call.wait_deadline - now,
+            self._is_deferrable(call),
         )
         self._reports.schedule_update()
         try:
@@ -445,8 +451,12 @@
             call.route.idempotent,
             call.excluded,
             lambda instance: self._pools.has_idle(instance, is_cautious),
+            self._kind_urgency.get_queue_per_slot(call.service, call.route),
         )
 
+    def _is_deferrable(self, call):
+        return self._kind_urgency.is_deferrable(call.service, call.route)
+
     def _may_send_again(self, call, now):
         if call.attempts >= call.route.max_targets:
             return False
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -30,8 +30,9 @@
 from . import relay as relay_module
 from . import target_limits as target_limits_module
 from . import target_pools
-from . import waiting as waiting_module
 from . import watcher_selection as watcher_selection_module
+from .admission import urgency
+from .admission import waiting as waiting_module
 
 # The load balancer in front of the hosts sends new connections until two
 # readiness probes, one a second, have failed.
@@ -69,6 +70,7 @@
         'guard',
         'header_codec',
         'health',
+        'kind_urgency',
         'metrics',
         'outcomes',
         'path_tester',
@@ -97,6 +99,9 @@
         self.watcher_selection = watcher_selection_module.WatcherSelection(
             self.fleet
         )
+        self.kind_urgency = urgency.KindUrgency(
+            self.directory, self.health, settings.balancing.scope
+        )
         self.outcomes = outcomes_module.Outcomes()
         self.target_limits = target_limits_module.TargetLimits(
             self.directory, self.fleet
--- /dev/null
+++ b/tests/edge/admission/shared_service.py
@@ -0,0 +1,256 @@
+"""Load of two kinds of requests on one service, with the real decisions."""
+
+import collections
+import dataclasses
+import heapq
+import random
+
+from lavenderstile.edge.admission import urgency
+from lavenderstile.edge.admission import waiting
+from lavenderstile.edge import balancing
+from lavenderstile.edge import health
+from lavenderstile.edge import models
+from lavenderstile.edge import settings
+from tests.edge import builders
+
+SERVICE = 'ledger'
+STEP_S = 0.01
+
+# Age of what hosts know of each other.
+UPDATE_INTERVAL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of request; `load` is its work over the slots of all targets."""
+
+    name: str
+    work_s: float
+    objective_s: float
+    timeout_s: float
+    load: float
+
+    def make_route(self):
+        """Return the route of the kind."""
+        return builders.make_route(
+            self.name,
+            idempotent=True,
+            objective_s=self.objective_s,
+            timeout_s=self.timeout_s,
+        )
+
+
+READS = Kind('reads', 0.8, 4.0, 6.0, 1.1)
+WRITES = Kind('writes', 0.26, 1.0, 2.0, 0.1)
+
+
+class Target:
+    """A target that serves in order of arrival and rejects beyond a queue."""
+
+    QUEUE_PER_SLOT = 2
+
+    def __init__(self, slots):
+        self._free_at = [0.0] * slots
+        self._ends = []
+
+    def start(self, now, work_s):
+        """Return when a request that arrives now ends, or None if shed."""
+        self._ends = [end for end in self._ends if end > now]
+        slots = len(self._free_at)
+        if len(self._ends) >= slots * (1 + self.QUEUE_PER_SLOT):
+            return None
+        end = max(now, heapq.heappop(self._free_at)) + work_s
+        heapq.heappush(self._free_at, end)
+        self._ends.append(end)
+        return end
+
+
+class Host:
+    """A host of the domain."""
+
+    def __init__(self, address, targets, scope, routes):
+        self.address = address
+        self.fixture = builders.BalancerFixture(
+            targets,
+            address=address,
+            configuration=builders.make_configuration(routes=routes),
+        )
+        self.queue = waiting.WaitingRequests(self.fixture.fleet)
+        self.kind_urgency = urgency.KindUrgency(
+            self.fixture.directory, self.fixture.health, scope
+        )
+
+    def make_update(self):
+        """Return the update that the peers get."""
+        return builders.make_update(
+            self.address,
+            running=dict(self.fixture.balancer.own_running),
+            waiting=self.queue.counts,
+        )
+
+
+class SharedServiceLoad:
+    """A domain whose hosts get both kinds of requests for `DURATION_S`.
+
+    The kinds have the same priority. `latencies` has those of the requests
+    served within their time limit, `lost` counts the others.
+    """
+
+    DURATION_S = 12.0
+    HOSTS = 6
+    TARGETS = 6
+    SLOTS = 4
+
+    def __init__(self, seed, scope, kinds=(READS, WRITES)):
+        self._rng = random.Random(seed)
+        self._kinds = kinds
+        self._routes = {kind: kind.make_route() for kind in kinds}
+        targets = [
+            builders.make_target(f'i-{number}', slots=self.SLOTS)
+            for number in range(self.TARGETS)
+        ]
+        self._targets = {
+            target.instance: Target(self.SLOTS) for target in targets
+        }
+        self._hosts = [
+            Host(f'10.1.0.{number}', targets, scope, self._routes.values())
+            for number in range(1, self.HOSTS + 1)
+        ]
+        self._queued = []
+        self._running = []
+        self.latencies = collections.defaultdict(list)
+        self.lost = collections.Counter()
+
+    def run(self):
+        """Play the load until the last request has ended."""
+        step = 0
+        while (now := step * STEP_S) < self.DURATION_S or self._queued:
+            self._end_runs(now)
+            if now < self.DURATION_S:
+                self._add_arrivals(now)
+            self._start_runs(now)
+            for host in self._hosts:
+                host.fixture.clock.advance(STEP_S)
+            if step % round(UPDATE_INTERVAL_S / STEP_S) == 0:
+                self._send_updates()
+            step += 1
+        self._end_runs(float('inf'))
+        return self
+
+    def get_quantile(self, kind, share):
+        """Return a quantile of a kind's latencies; lost ones count as inf."""
+        latencies = sorted(self.latencies[kind])
+        index = int(share * (len(latencies) + self.lost[kind]))
+        return latencies[index] if index < len(latencies) else float('inf')
+
+    def get_served_share(self, kind):
+        """Return the share of a kind's requests that were served."""
+        served = len(self.latencies[kind])
+        return served / (served + self.lost[kind])
+
+    def get_timely_share(self, kind):
+        """Return the share of requests that were served in the objective."""
+        latencies = self.latencies[kind]
+        timely = sum(each <= kind.objective_s for each in latencies)
+        return timely / (len(latencies) + self.lost[kind])
+
+    def _add_arrivals(self, now):
+        for kind in self._kinds:
+            slots = self.TARGETS * self.SLOTS
+            expected = kind.load * slots / kind.work_s * STEP_S
+            count = int(expected) + (self._rng.random() < expected % 1)
+            for _ in range(count):
+                host = self._rng.choice(self._hosts)
+                route = self._routes[kind]
+                entry = host.queue.add(
+                    SERVICE,
+                    1,
+                    'club',
+                    now,
+                    host.kind_urgency.get_longest_wait(
+                        SERVICE, route, kind.timeout_s
+                    ),
+                    host.kind_urgency.is_deferrable(SERVICE, route),
+                )
+                self._queued.append((now, host, kind, entry))
+
+    def _start_runs(self, now):
+        self._rng.shuffle(self._queued)
+        for item in list(self._queued):
+            arrived_at, host, kind, entry = item
+            if host.queue.is_next(entry, now):
+                entry.has_slot = self._send(host, kind, arrived_at, now)
+            waited_s = now - arrived_at
+            longest_s = host.kind_urgency.get_longest_wait(
+                SERVICE, self._routes[kind], kind.timeout_s
+            )
+            if not entry.has_slot and waited_s > longest_s:
+                self.lost[kind] += 1
+            elif not entry.has_slot:
+                continue
+            host.queue.remove(entry)
+            self._queued.remove(item)
+
+    def _send(self, host, kind, arrived_at, now):
+        """Send a request to a target; return whether it was accepted."""
+        fixture = host.fixture
+        choice = fixture.choose(
+            is_idempotent=True,
+            queue_per_slot=host.kind_urgency.get_queue_per_slot(
+                SERVICE, self._routes[kind]
+            ),
+        )
+        if not isinstance(choice, balancing.Chosen):
+            return False
+        instance = choice.known.target.instance
+        end = self._targets[instance].start(now, kind.work_s)
+        if end is None:
+            fixture.health.record_fault(
+                instance, health.FaultKind.SHED, fixture.clock.now()
+            )
+            return False
+        fixture.balancer.begin(choice.known, fixture.clock.now())
+        run = (end, now, arrived_at, host, choice.known, kind)
+        self._running.append(run)
+        return True
+
+    def _end_runs(self, now):
+        for run in [run for run in self._running if run[0] <= now]:
+            self._running.remove(run)
+            end, sent_at, arrived_at, host, known, kind = run
+            host.fixture.balancer.end(known)
+            for other in self._hosts:
+                other.fixture.health.record_success(
+                    known.target.instance,
+                    SERVICE,
+                    end - sent_at,
+                    other.fixture.clock.now(),
+                )
+            if end - arrived_at <= kind.timeout_s:
+                self.latencies[kind].append(end - arrived_at)
+            else:
+                self.lost[kind] += 1
+
+    def _send_updates(self):
+        for host in self._hosts:
+            update = host.make_update()
+            for other in self._hosts:
+                if other is not host:
+                    now = other.fixture.clock.now()
+                    other.fixture.fleet.apply_update(update, now)
+
+
+def make_split_routes():
+    """Return routes of which two share a service and one has its own."""
+    archive = (models.WeightedService('archive', 1.0),)
+    return {
+        'reads': READS.make_route(),
+        'writes': WRITES.make_route(),
+        'scans': builders.make_route(
+            'scans', objective_s=9.0, weighted_services=archive
+        ),
+    }
+
+
+FLEET = settings.Scope.FLEET
+DOMAIN = settings.Scope.DOMAIN
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -144,7 +144,13 @@
                 instance, 'ledger', 0.2, self.clock.now()
             )
 
-    def choose(self, excluded=(), kilobytes=1.0, is_idempotent=False):
+    def choose(
+        self,
+        excluded=(),
+        kilobytes=1.0,
+        is_idempotent=False,
+        queue_per_slot=balancing.QUEUE_PER_SLOT,
+    ):
         """Return the choice for a request."""
         return self.balancer.choose(
             'ledger',
@@ -153,6 +159,7 @@
             is_idempotent,
             excluded,
             lambda instance: True,
+            queue_per_slot,
         )
 
     def choose_instance(self, **changes):
