Order waiting requests of a domain by their latest start

Cause: a host sees the ends of its own requests first and gave each such slot to its own next request. With 1.3 slots for each host, requests waited at hosts without running ones until their time was over, while later ones of other hosts were served.

Change, with scope "fleet" only: requests go by priority, then those that can still meet their objective, then by the latest start for that, then by the grants of their workspace where latest starts differ by less than an eighth of the objective. Hosts report the four soonest latest starts by service and priority to their domain (new field `starts` of the update, empty unless requests wait). A host leaves a slot it sees to peers whose requests go first for 20 ms each, 80 ms at most, as a peer may not be able to use it. A long wait makes a request the first of all priorities, until its objective is missed. Scope "domain" uses the former queue unchanged.

Ruled out: requests that miss their objective first, since under lasting overload every request would then be late; a count of free slots to decide whether to go, since the load that other domains cause is known too late.

--- /dev/null
+++ b/lavenderstile/edge/admission/fleet_waiting.py
@@ -0,0 +1,179 @@
+"""Order of the requests that wait, with scope `FLEET`.
+
+The hosts of a domain tell each other until when their first requests have to
+start, and leave free slots to the requests of peers that have to start sooner.
+"""
+
+import functools
+import heapq
+import math
+
+from . import waiting
+
+# Hosts report deferrable requests under their priority plus this number. An
+# older build takes them for the least urgent ones. Priorities are within
+# 2**31 on both sides of zero.
+DEFERRABLE_OFFSET = 2**33
+
+# Number of requests by service and priority whose latest starts are reported.
+REPORTED_STARTS = 4
+
+# For each request of a peer that goes first, a host leaves a free slot unused
+# for this time, in which the peer takes it and reports that. Hosts send
+# updates at most every 12 ms. The number of such requests is bounded, since
+# some peers may not be able to use the slot.
+HANDOFF_S = 0.02
+MAX_HANDOFFS = 4
+
+
+class FleetWaitingRequests(waiting.WaitingRequests):
+    """The waiting requests of this host, with scope `FLEET`.
+
+    They go by priority. Within one, requests that can still meet their
+    objective go first, then those that have to start sooner, then the
+    workspaces whose requests got the fewest slots. Others do not wait for
+    deferrable requests, which cannot use the places that are left at targets.
+    """
+
+    __slots__ = ('_clock',)
+
+    def __init__(self, fleet, clock):
+        super().__init__(fleet)
+        self._clock = clock
+
+    @property
+    def counts(self):
+        """Number of waiting requests by service and reported priority."""
+        counts = {}
+        for service, entries in self._waiting.items():
+            by_priority = counts[service] = {}
+            for entry in entries:
+                reported = _get_reported_priority(entry)
+                by_priority[reported] = by_priority.get(reported, 0) + 1
+        return counts
+
+    @property
+    def starts(self):
+        """The soonest latest starts by service and reported priority.
+
+        They are in milliseconds from now.
+        """
+        now = self._clock.now()
+        starts = {}
+        for service, entries in self._waiting.items():
+            by_priority = starts[service] = {}
+            for entry in entries:
+                start_ms = round((entry.turn.starts_by - now) * 1000)
+                by_priority.setdefault(
+                    _get_reported_priority(entry), []
+                ).append(start_ms)
+            for priority, found in by_priority.items():
+                by_priority[priority] = heapq.nsmallest(REPORTED_STARTS, found)
+        return starts
+
+    def must_yield(self, service, priority, turn=None):
+        """Return whether a new request has to wait for others."""
+        own = self._waiting.get(service, ())
+        return any(
+            entry.priority <= priority
+            and (turn.is_deferrable or not entry.turn.is_deferrable)
+            for entry in own
+        ) or bool(
+            self._count_ahead(service, priority, turn, self._clock.now())
+        )
+
+    def is_next(self, entry, now):
+        """Return whether a waiting request may look for a slot now."""
+        entries = self._waiting[entry.service]
+        if not entry.turn.is_deferrable:
+            entries = _select_urgent(entries)
+        return self._find_first(entries, now) is entry
+
+    def get_handoff_wait(self, entry, now):
+        """Return how long to leave a free slot to peers, in seconds."""
+        if entry.offered_at is None:
+            entry.offered_at = now
+        ahead = self._count_ahead(
+            entry.service, _get_priority(entry, now), entry.turn, now
+        )
+        return max(0.0, entry.offered_at + ahead * HANDOFF_S - now)
+
+    def wake(self):
+        """Let the next requests of each service look for a slot.
+
+        These are the first of all and the first that is not deferrable.
+        """
+        now = self._clock.now()
+        for entries in self._waiting.values():
+            first = self._find_first(entries, now)
+            first.wakeup.set()
+            if first.turn.is_deferrable:
+                urgent = _select_urgent(entries)
+                if urgent:
+                    self._find_first(urgent, now).wakeup.set()
+
+    def _find_first(self, entries, now):
+        return min(entries, key=functools.partial(self._get_key, now))
+
+    def _get_key(self, now, entry):
+        granted = self._granted.get(entry.service, {})
+        turn = entry.turn
+        return (
+            _get_priority(entry, now),
+            turn.is_deferrable,
+            turn.starts_by < now,
+            turn.starts_by // turn.close_s,
+            granted.get(entry.workspace, 0),
+            entry.number,
+        )
+
+    def _count_ahead(self, service, priority, turn, now):
+        """Count the requests of peers that go first, up to a bound."""
+        ahead = 0
+        own_key = (
+            priority,
+            turn.is_deferrable,
+            turn.starts_by < now,
+            turn.starts_by - turn.close_s,
+        )
+        for peer in self._fleet.peers.values():
+            for key in _list_keys(peer, service, now):
+                _, is_deferrable, _, _ = key
+                if is_deferrable and not turn.is_deferrable:
+                    continue
+                ahead += key < own_key
+                if ahead == MAX_HANDOFFS:
+                    return ahead
+        return ahead
+
+
+def _list_keys(peer, service, now):
+    """Yield the places in the order of a peer's waiting requests.
+
+    Peers of an older build report no starts; they go by priority only.
+    """
+    starts = peer.starts.get(service)
+    if starts is None:
+        starts = dict.fromkeys(peer.waiting.get(service, ()), (math.inf,))
+    for reported, found in starts.items():
+        is_deferrable = reported > DEFERRABLE_OFFSET // 2
+        priority = reported - DEFERRABLE_OFFSET * is_deferrable
+        for start in found:
+            yield priority, is_deferrable, start < now, start
+
+
+def _get_reported_priority(entry):
+    return entry.priority + DEFERRABLE_OFFSET * entry.turn.is_deferrable
+
+
+def _get_priority(entry, now):
+    """Return the priority that counts; a long wait makes it the highest.
+
+    So no kind of request is starved. It ends when the objective is missed.
+    """
+    is_aged = entry.yields_until <= now <= entry.turn.starts_by
+    return -math.inf if is_aged else entry.priority
+
+
+def _select_urgent(entries):
+    return [entry for entry in entries if not entry.turn.is_deferrable]
--- a/lavenderstile/edge/admission/urgency.py
+++ b/lavenderstile/edge/admission/urgency.py
@@ -1,5 +1,6 @@
 """Kinds of requests of a service by urgency, and the places they may take."""
 
+import dataclasses
 import math
 
 from .. import balancing
@@ -20,6 +21,26 @@
 LATEST_START_FACTOR = 2.0
 
 
+# Waiting requests are as urgent as each other if their latest starts differ by
+# less than this share of their objective. A refusal within it is at once.
+CLOSE_SHARE = 1 / 8
+MIN_CLOSE_S = 0.001
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """What decides when a request gets a slot, beside its priority.
+
+    A request that `is_deferrable` may use fewer places at targets than others
+    of its service. `starts_by` is its latest start for meeting its objective.
+    Latest starts that differ by less than `close_s` count as equal.
+    """
+
+    is_deferrable: bool
+    starts_by: float
+    close_s: float
+
+
 class KindUrgency:
     """Tells which requests leave the queues of targets to more urgent ones.
 
@@ -58,6 +79,16 @@
         work_s = self._health.get_mean_latency(service)
         return min(balancing.QUEUE_PER_SLOT, delay_s / work_s)
 
+    def make_turn(self, service, route, arrived_at, deadline):
+        """Return the `Turn` of a request."""
+        time_s = min(get_objective(route), deadline - arrived_at)
+        work_s = self._health.get_mean_latency(service)
+        return Turn(
+            self.is_deferrable(service, route),
+            arrived_at + time_s - work_s,
+            max(CLOSE_SHARE * time_s, MIN_CLOSE_S),
+        )
+
     def get_longest_wait(self, service, route, remaining_s):
         """Return how long a request may wait at the host, in seconds."""
         share_s = MAX_WAIT_SHARE * remaining_s
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -1,7 +1,6 @@
 """View of the other hosts: their liveness, load and admitted requests."""
 
 import dataclasses
-import math
 
 
 # A host without contact for longer than this counts as lost; it is the time of
@@ -26,7 +25,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """A host of the same failure domain."""
+    """A host of the same failure domain.
+
+    `starts` has the latest starts of its first waiting requests for meeting
+    their objectives, by service and priority.
+    """
 
     address: str
     started_ms: int
@@ -39,6 +42,9 @@
     waiting: dict[str, dict[int, int]]
     limited_sends: dict[str, int]
     reaches_targets: bool
+    starts: dict[str, dict[int, list[float]]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,13 +156,10 @@
         """Return the requests in flight from the domain's other hosts."""
         return self._running.get(instance, 0)
 
-    def has_more_urgent(self, service, priority, lowest=-math.inf):
-        """Return whether a more urgent request waits at a peer.
-
-        Requests with a priority below `lowest` are ignored.
-        """
+    def has_more_urgent(self, service, priority):
+        """Return whether a more urgent request waits at a peer."""
         return any(
-            lowest <= waiting < priority
+            waiting < priority
             for peer in self._peers.values()
             if peer.waiting
             for waiting in peer.waiting.get(service, ())
@@ -247,6 +250,7 @@
         self._count_running(update.running, 1)
         peer.running = update.running
         peer.waiting = update.waiting
+        peer.starts = _convert_starts(update.starts, now)
         peer.reaches_targets = update.reaches_targets
         peer.admitted.update(update.admitted)
         peer.sends.update(update.sends)
@@ -309,6 +313,17 @@
                 self._running.pop(instance, None)
 
 
+def _convert_starts(starts, now):
+    """Return times for the milliseconds from now in an update."""
+    return {
+        service: {
+            priority: [now + start_ms / 1000 for start_ms in found]
+            for priority, found in by_priority.items()
+        }
+        for service, by_priority in starts.items()
+    }
+
+
 def _subtract(new, old):
     return {
         name: count - old.get(name, 0)
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -366,23 +366,20 @@
 
     async def _find_target(self, call):
         """Return the target to send to, after a wait for a slot if needed."""
-        is_deferrable = self._is_deferrable(call)
-        if not self._waiting.must_yield(
-            call.service, call.priority, is_deferrable
-        ):
+        turn = self._kind_urgency.make_turn(
+            call.service, call.route, call.request.arrived_at, call.deadline
+        )
+        if not self._waiting.must_yield(call.service, call.priority, turn):
             known = self._try_find_target(call)
             if known is not None:
                 return known
         now = self._clock.now()
-        remaining_s = call.deadline - now
         if call.wait_deadline is None:
             call.wait_deadline = now + self._kind_urgency.get_longest_wait(
-                call.service, call.route, remaining_s
+                call.service, call.route, call.deadline - now
             )
-        with self._queue(call, now) as entry:
-            while not self._waiting.is_next(entry, self._clock.now()) or (
-                (known := self._try_find_target(call)) is None
-            ):
+        with self._queue(call, turn, now) as entry:
+            while (known := self._take_turn(call, entry)) is None:
                 if self._clock.now() >= call.wait_deadline:
                     self._give_up(
                         call,
@@ -394,8 +391,22 @@
             entry.has_slot = True
         return known
 
+    def _take_turn(self, call, entry):
+        """Return a target for a waiting request, or None if not yet."""
+        now = self._clock.now()
+        known = None
+        if self._waiting.is_next(entry, now):
+            known = self._try_find_target(call)
+        if known is None:
+            entry.offered_at = None
+        elif now < call.wait_deadline and self._waiting.get_handoff_wait(
+            entry, now
+        ):
+            return None
+        return known
+
     @contextlib.contextmanager
-    def _queue(self, call, now):
+    def _queue(self, call, turn, now):
         """Queue the request, which the peers learn, during the block."""
         entry = self._waiting.add(
             call.service,
@@ -403,7 +414,7 @@
             call.workspace and call.workspace.name,
             now,
             call.wait_deadline - now,
-            self._is_deferrable(call),
+            turn,
         )
         self._reports.schedule_update()
         try:
@@ -454,9 +465,6 @@
             self._kind_urgency.get_queue_per_slot(call.service, call.route),
         )
 
-    def _is_deferrable(self, call):
-        return self._kind_urgency.is_deferrable(call.service, call.route)
-
     def _may_send_again(self, call, now):
         if call.attempts >= call.route.max_targets:
             return False
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -28,9 +28,11 @@
 from . import rate_limits as rate_limits_module
 from . import registry
 from . import relay as relay_module
+from . import settings as settings_module
 from . import target_limits as target_limits_module
 from . import target_pools
 from . import watcher_selection as watcher_selection_module
+from .admission import fleet_waiting
 from .admission import urgency
 from .admission import waiting as waiting_module
 
@@ -93,7 +95,11 @@
         self.fleet = fleet_module.Fleet(
             settings.address, settings.domain, started_ms
         )
-        self.waiting = waiting_module.WaitingRequests(self.fleet)
+        self.waiting = (
+            fleet_waiting.FleetWaitingRequests(self.fleet, clock)
+            if settings.balancing.scope is settings_module.Scope.FLEET
+            else waiting_module.WaitingRequests(self.fleet)
+        )
         self.rate_limits = rate_limits_module.RateLimits()
         self.health = health_module.HealthTracker()
         self.watcher_selection = watcher_selection_module.WatcherSelection(
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -426,6 +426,7 @@
             crash_reports.answers,
             self._reaches_targets,
             self._directory.leaving,
+            self._waiting.starts,
         )
 
     @property
--- a/lavenderstile/edge/messages.py
+++ b/lavenderstile/edge/messages.py
@@ -79,7 +79,9 @@
     requests that were suspected of crashes, by digest. Unless the update
     `is_full`, unchanged counts and limits are left out. A host that
     `reaches_targets` relays requests for those that do not. `leaving` has the
-    instance and start of the targets that said that they leave.
+    instance and start of the targets that said that they leave. `starts` has
+    the latest starts of the first waiting requests for meeting their
+    objectives, by service and priority, in milliseconds from now.
     """
 
     address: str
@@ -102,6 +104,7 @@
     answers: dict[str, float] = {}
     reaches_targets: bool = True
     leaving: list[tuple[str, int]] = []
+    starts: dict[str, dict[int, list[int]]] = {}
 
     @property
     def position(self):
--- a/tests/edge/admission/shared_service.py
+++ b/tests/edge/admission/shared_service.py
@@ -5,6 +5,7 @@
 import heapq
 import random
 
+from lavenderstile.edge.admission import fleet_waiting
 from lavenderstile.edge.admission import urgency
 from lavenderstile.edge.admission import waiting
 from lavenderstile.edge import balancing
@@ -75,7 +76,12 @@
             address=address,
             configuration=builders.make_configuration(routes=routes),
         )
-        self.queue = waiting.WaitingRequests(self.fixture.fleet)
+        fleet = self.fixture.fleet
+        self.queue = (
+            waiting.WaitingRequests(fleet)
+            if scope is settings.Scope.DOMAIN
+            else fleet_waiting.FleetWaitingRequests(fleet, self.fixture.clock)
+        )
         self.kind_urgency = urgency.KindUrgency(
             self.fixture.directory, self.fixture.health, scope
         )
@@ -86,6 +92,7 @@
             self.address,
             running=dict(self.fixture.balancer.own_running),
             waiting=self.queue.counts,
+            starts=self.queue.starts,
         )
 
 
@@ -103,6 +110,7 @@
 
     def __init__(self, seed, scope, kinds=(READS, WRITES)):
         self._rng = random.Random(seed)
+        self._arrivals = random.Random(seed)
         self._kinds = kinds
         self._routes = {kind: kind.make_route() for kind in kinds}
         targets = [
@@ -125,10 +133,10 @@
         """Play the load until the last request has ended."""
         step = 0
         while (now := step * STEP_S) < self.DURATION_S or self._queued:
-            self._end_runs(now)
+            self._end_runs(self._hosts[0].fixture.clock.now())
             if now < self.DURATION_S:
-                self._add_arrivals(now)
-            self._start_runs(now)
+                self._add_arrivals()
+            self._start_runs()
             for host in self._hosts:
                 host.fixture.clock.advance(STEP_S)
             if step % round(UPDATE_INTERVAL_S / STEP_S) == 0:
@@ -154,14 +162,15 @@
         timely = sum(each <= kind.objective_s for each in latencies)
         return timely / (len(latencies) + self.lost[kind])
 
-    def _add_arrivals(self, now):
+    def _add_arrivals(self):
         for kind in self._kinds:
             slots = self.TARGETS * self.SLOTS
             expected = kind.load * slots / kind.work_s * STEP_S
-            count = int(expected) + (self._rng.random() < expected % 1)
+            count = int(expected) + (self._arrivals.random() < expected % 1)
             for _ in range(count):
-                host = self._rng.choice(self._hosts)
+                host = self._arrivals.choice(self._hosts)
                 route = self._routes[kind]
+                now = host.fixture.clock.now()
                 entry = host.queue.add(
                     SERVICE,
                     1,
@@ -170,38 +179,45 @@
                     host.kind_urgency.get_longest_wait(
                         SERVICE, route, kind.timeout_s
                     ),
-                    host.kind_urgency.is_deferrable(SERVICE, route),
+                    host.kind_urgency.make_turn(
+                        SERVICE, route, now, now + kind.timeout_s
+                    ),
                 )
                 self._queued.append((now, host, kind, entry))
 
-    def _start_runs(self, now):
+    def _start_runs(self):
         self._rng.shuffle(self._queued)
         for item in list(self._queued):
             arrived_at, host, kind, entry = item
-            if host.queue.is_next(entry, now):
-                entry.has_slot = self._send(host, kind, arrived_at, now)
-            waited_s = now - arrived_at
+            now = host.fixture.clock.now()
+            is_first = host.queue.is_next(entry, now)
+            choice = self._choose(host, kind) if is_first else None
+            if not isinstance(choice, balancing.Chosen):
+                entry.offered_at = None
+            elif not host.queue.get_handoff_wait(entry, now):
+                entry.has_slot = self._send(host, kind, arrived_at, choice)
             longest_s = host.kind_urgency.get_longest_wait(
                 SERVICE, self._routes[kind], kind.timeout_s
             )
-            if not entry.has_slot and waited_s > longest_s:
+            if not entry.has_slot and now - arrived_at > longest_s:
                 self.lost[kind] += 1
             elif not entry.has_slot:
                 continue
             host.queue.remove(entry)
             self._queued.remove(item)
 
-    def _send(self, host, kind, arrived_at, now):
-        """Send a request to a target; return whether it was accepted."""
-        fixture = host.fixture
-        choice = fixture.choose(
+    def _choose(self, host, kind):
+        return host.fixture.choose(
             is_idempotent=True,
             queue_per_slot=host.kind_urgency.get_queue_per_slot(
                 SERVICE, self._routes[kind]
             ),
         )
-        if not isinstance(choice, balancing.Chosen):
-            return False
+
+    def _send(self, host, kind, arrived_at, choice):
+        """Send a request to a target; return whether it was accepted."""
+        fixture = host.fixture
+        now = fixture.clock.now()
         instance = choice.known.target.instance
         end = self._targets[instance].start(now, kind.work_s)
         if end is None:
--- a/tests/edge/test_mesh.py
+++ b/tests/edge/test_mesh.py
@@ -32,7 +32,7 @@
     for number in range(peers):
         view.apply_update(builders.make_update(f'10.1.1.{number}'), 0.0)
     parts = types.SimpleNamespace(
-        waiting=types.SimpleNamespace(counts={}, wake=lambda: None),
+        waiting=types.SimpleNamespace(counts={}, starts={}, wake=lambda: None),
         clock=clocks.Clock(),
         fleet=view,
         rate_limits=types.SimpleNamespace(
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -85,36 +85,6 @@
         self.assertTrue(self.queue.must_yield(SERVICE, 2))
         self.assertFalse(self.queue.must_yield(SERVICE, 0))
 
-    def test_urgent_kinds_do_not_wait_for_deferrable_requests(self):
-        """Guards against urgent requests behind others that need a free slot.
-
-        The deferrable ones cannot use the places left at targets.
-        """
-        deferrable = self.queue.add(SERVICE, 0, 'club', 0.0, 1.0, True)
-        self.assertFalse(self.queue.must_yield(SERVICE, 1))
-        self.assertTrue(self.queue.must_yield(SERVICE, 1, True))
-        urgent = self.add(1)
-        self.assertEqual(
-            self.find_next([deferrable, urgent]), [deferrable, urgent]
-        )
-
-    def test_deferrable_requests_wait_for_urgent_ones(self):
-        urgent = self.add(1)
-        deferrable = self.queue.add(SERVICE, 1, 'club', 0.0, 1.0, True)
-        self.assertEqual(self.find_next([deferrable, urgent]), [urgent])
-        self.assertTrue(self.queue.must_yield(SERVICE, 1, True))
-
-    def test_deferrable_requests_of_a_peer_hold_only_their_kind_back(self):
-        peer, _ = make_queue('10.1.0.2')
-        peer.add(SERVICE, 0, 'club', 0.0, 1.0, True)
-        update = builders.make_update('10.1.0.2', waiting=peer.counts)
-        self.fleet.apply_update(update, 0.0)
-        for priority in (-(2**31), 0, 1, 2**31):
-            with self.subTest(priority=priority):
-                is_held = self.queue.must_yield(SERVICE, priority, True)
-                self.assertEqual(is_held, priority > 0)
-                self.assertFalse(self.queue.must_yield(SERVICE, priority))
-
     def test_counts_for_the_peers(self):
         entries = [self.add(0), self.add(2), self.add(2)]
         self.assertEqual(self.queue.counts, {SERVICE: {0: 1, 2: 2}})
@@ -141,16 +111,6 @@
         self.assertFalse(tasks[1].done())
         tasks[1].cancel()
 
-    async def test_an_event_wakes_the_first_urgent_request_as_well(self):
-        queue, _ = make_queue()
-        first = queue.add(SERVICE, 0, 'club', 0.0, 1.0, True)
-        other = queue.add(SERVICE, 0, 'club', 0.0, 1.0, True)
-        urgent = queue.add(SERVICE, 1, 'club', 0.0, 1.0)
-        queue.wake()
-        entries = (first, other, urgent)
-        woken = [entry.wakeup.is_set() for entry in entries]
-        self.assertEqual(woken, [True, False, True])
-
     async def test_the_wait_ends_without_an_event(self):
         queue, _ = make_queue()
         entry = queue.add(SERVICE, 0, 'club', 0.0, 1.0)
