Refuse on arrival what cannot be served in its time

Cause: a request that found no slot was refused at the end of its longest wait, whatever waited before it; and a request that could still be served was refused after 0.3 of its time.

Change, with scope "fleet" only: a request that has to wait is refused at once (503, not run, no_capacity) if its expected wait ends within the service's usual time, or a quarter of the longest wait, of that longest wait. The expected wait follows from the requests that wait before it at the hosts of the domain, the slots of targets that are not avoided, the domain's share of the fleet and the service's usual time. Without a usable target it is not known, and the request waits. The longest wait now ends when 1.25 (deferrable requests) or 2.75 times the service's usual time is left. Retry-After is the time until the queue has shrunk enough; each refused caller reserves a start of the domain, and it is limited to what callers wait for.

Ruled out: refusals once the objective cannot be met.

--- a/lavenderstile/edge/admission/fleet_waiting.py
+++ b/lavenderstile/edge/admission/fleet_waiting.py
@@ -29,10 +29,11 @@
 class FleetWaitingRequests(waiting.WaitingRequests):
     """The waiting requests of this host, with scope `FLEET`.
 
-    They go by priority. Within one, requests that can still meet their
-    objective go first, then those that have to start sooner, then the
-    workspaces whose requests got the fewest slots. Others do not wait for
-    deferrable requests, which cannot use the places that are left at targets.
+    They go by priority. Within one, those that have to start first to meet
+    their objective go first, then the workspaces whose requests got the fewest
+    slots. A new request so goes after those whose wait was estimated before.
+    Others do not wait for deferrable requests, which cannot use the places
+    that are left at targets.
     """
 
     __slots__ = ('_clock',)
@@ -78,8 +79,20 @@
             entry.priority <= priority
             and (turn.is_deferrable or not entry.turn.is_deferrable)
             for entry in own
-        ) or bool(
-            self._count_ahead(service, priority, turn, self._clock.now())
+        ) or bool(self._count_ahead(service, priority, turn))
+
+    def count_before(self, service, priority, turn):
+        """Count the requests of the domain that go before a new one."""
+        own = sum(
+            entry.priority <= priority
+            and (turn.is_deferrable or not entry.turn.is_deferrable)
+            for entry in self._waiting.get(service, ())
+        )
+        return own + sum(
+            count
+            for peer in self._fleet.peers.values()
+            for reported, count in peer.waiting.get(service, {}).items()
+            if _is_before(reported, priority, turn)
         )
 
     def is_next(self, entry, now):
@@ -94,7 +107,7 @@
         if entry.offered_at is None:
             entry.offered_at = now
         ahead = self._count_ahead(
-            entry.service, _get_priority(entry, now), entry.turn, now
+            entry.service, _get_priority(entry, now), entry.turn
         )
         return max(0.0, entry.offered_at + ahead * HANDOFF_S - now)
 
@@ -121,24 +134,22 @@
         return (
             _get_priority(entry, now),
             turn.is_deferrable,
-            turn.starts_by < now,
             turn.starts_by // turn.close_s,
             granted.get(entry.workspace, 0),
             entry.number,
         )
 
-    def _count_ahead(self, service, priority, turn, now):
+    def _count_ahead(self, service, priority, turn):
         """Count the requests of peers that go first, up to a bound."""
         ahead = 0
         own_key = (
             priority,
             turn.is_deferrable,
-            turn.starts_by < now,
             turn.starts_by - turn.close_s,
         )
         for peer in self._fleet.peers.values():
-            for key in _list_keys(peer, service, now):
-                _, is_deferrable, _, _ = key
+            for key in _list_keys(peer, service):
+                _, is_deferrable, _ = key
                 if is_deferrable and not turn.is_deferrable:
                     continue
                 ahead += key < own_key
@@ -147,7 +158,7 @@
         return ahead
 
 
-def _list_keys(peer, service, now):
+def _list_keys(peer, service):
     """Yield the places in the order of a peer's waiting requests.
 
     Peers of an older build report no starts; they go by priority only.
@@ -156,10 +167,23 @@
     if starts is None:
         starts = dict.fromkeys(peer.waiting.get(service, ()), (math.inf,))
     for reported, found in starts.items():
-        is_deferrable = reported > DEFERRABLE_OFFSET // 2
-        priority = reported - DEFERRABLE_OFFSET * is_deferrable
+        priority, is_deferrable = _parse_priority(reported)
         for start in found:
-            yield priority, is_deferrable, start < now, start
+            yield priority, is_deferrable, start
+
+
+def _parse_priority(reported):
+    """Return the priority and whether the requests are deferrable."""
+    is_deferrable = reported > DEFERRABLE_OFFSET // 2
+    return reported - DEFERRABLE_OFFSET * is_deferrable, is_deferrable
+
+
+def _is_before(reported, priority, turn):
+    """Return whether waiting requests of a peer go before a new request."""
+    peer_priority, is_deferrable = _parse_priority(reported)
+    return peer_priority <= priority and (
+        turn.is_deferrable or not is_deferrable
+    )
 
 
 def _get_reported_priority(entry):
@@ -169,10 +193,9 @@
 def _get_priority(entry, now):
     """Return the priority that counts; a long wait makes it the highest.
 
-    So no kind of request is starved. It ends when the objective is missed.
+    So no kind of request is starved.
     """
-    is_aged = entry.yields_until <= now <= entry.turn.starts_by
-    return -math.inf if is_aged else entry.priority
+    return -math.inf if now >= entry.yields_until else entry.priority
 
 
 def _select_urgent(entries):
--- a/lavenderstile/edge/admission/urgency.py
+++ b/lavenderstile/edge/admission/urgency.py
@@ -11,15 +11,14 @@
 # request's own work and for the slot that comes free next.
 DELAY_SHARE = 0.25
 
-# Share of its remaining time that a request may wait at the host. With the
-# queues of targets open to it, a longer wait means that the service is lost.
+# Share of its remaining time that a request may wait at the host in any case.
 MAX_WAIT_SHARE = 0.3
 
-# A deferrable request does all its waiting at the host. It may wait until this
-# multiple of the service's usual time is left, since its own work can take
-# longer than that of the urgent kind.
-LATEST_START_FACTOR = 2.0
-
+# With scope `FLEET` a request may wait until this multiple of the service's
+# usual time is left: its own work, the wait in a target's queue for those that
+# may use all of it, and a quarter for work that takes longer than usual.
+DEFERRABLE_START_FACTOR = 1.25
+START_FACTOR = DEFERRABLE_START_FACTOR + balancing.QUEUE_PER_SLOT
 
 # Waiting requests are as urgent as each other if their latest starts differ by
 # less than this share of their objective. A refusal within it is at once.
@@ -92,10 +91,15 @@
     def get_longest_wait(self, service, route, remaining_s):
         """Return how long a request may wait at the host, in seconds."""
         share_s = MAX_WAIT_SHARE * remaining_s
-        if not self.is_deferrable(service, route):
+        if not self._is_enabled:
             return share_s
+        factor = (
+            DEFERRABLE_START_FACTOR
+            if self.is_deferrable(service, route)
+            else START_FACTOR
+        )
         work_s = self._health.get_mean_latency(service)
-        return max(share_s, remaining_s - LATEST_START_FACTOR * work_s)
+        return max(share_s, remaining_s - factor * work_s)
 
     def _get_shortest_objective(self, service):
         configuration = self._directory.configuration
--- a/lavenderstile/edge/calls.py
+++ b/lavenderstile/edge/calls.py
@@ -53,6 +53,7 @@
         'deadline',
         'digest',
         'excluded',
+        'expected_wait_s',
         'failure',
         'key',
         'may_have_run',
@@ -83,6 +84,7 @@
         self.priority = _find_priority(route, workspace)
         self.wait_deadline = None
         self.waited_s = 0.0
+        self.expected_wait_s = None
         self.retry_after_s = None
         self.service = None
         self.digest = None
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -20,6 +20,7 @@
 from . import refusals
 from . import relay as relay_module
 from . import target_sender
+from .admission import expected_wait
 
 Answered = calls.Answered
 Failed = calls.Failed
@@ -74,6 +75,7 @@
         self._reports = parts.reports
         self._waiting = parts.waiting
         self._kind_urgency = parts.kind_urgency
+        self._expected_waits = parts.expected_waits
         self._metrics = parts.metrics
         self._sender = target_sender.TargetSender(parts)
         self._random = random.Random()
@@ -378,6 +380,7 @@
             call.wait_deadline = now + self._kind_urgency.get_longest_wait(
                 call.service, call.route, call.deadline - now
             )
+        self._refuse_without_time(call, turn, now)
         with self._queue(call, turn, now) as entry:
             while (known := self._take_turn(call, entry)) is None:
                 if self._clock.now() >= call.wait_deadline:
@@ -391,6 +394,24 @@
             entry.has_slot = True
         return known
 
+    def _refuse_without_time(self, call, turn, now):
+        """Refuse a request whose expected wait is longer than it may wait."""
+        match self._expected_waits.check(
+            call.service, call.priority, turn, call.wait_deadline - now, now
+        ):
+            case expected_wait.Accepted(expected_s):
+                call.expected_wait_s = expected_s
+            case expected_wait.Refused(expected_s, retry_after_s):
+                call.expected_wait_s = expected_s
+                self._give_up(
+                    call,
+                    Reason.NO_CAPACITY,
+                    f'the expected wait of {expected_s:.2f} s is too long',
+                    expected_wait.limit_retry_after(
+                        retry_after_s, call.deadline - now
+                    ),
+                )
+
     def _take_turn(self, call, entry):
         """Return a target for a waiting request, or None if not yet."""
         now = self._clock.now()
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -32,6 +32,7 @@
 from . import target_limits as target_limits_module
 from . import target_pools
 from . import watcher_selection as watcher_selection_module
+from .admission import expected_wait
 from .admission import fleet_waiting
 from .admission import urgency
 from .admission import waiting as waiting_module
@@ -68,6 +69,7 @@
         'budgets',
         'clock',
         'directory',
+        'expected_waits',
         'fleet',
         'guard',
         'header_codec',
@@ -108,6 +110,13 @@
         self.kind_urgency = urgency.KindUrgency(
             self.directory, self.health, settings.balancing.scope
         )
+        self.expected_waits = expected_wait.ExpectedWaits(
+            self.directory,
+            self.fleet,
+            self.health,
+            self.waiting,
+            settings.balancing.scope,
+        )
         self.outcomes = outcomes_module.Outcomes()
         self.target_limits = target_limits_module.TargetLimits(
             self.directory, self.fleet
