Show why requests wait or are refused, and the queue by kind

With scope "fleet" the log line of a request that found no slot at once has the cause of its wait, the expected wait, the number of requests that go before it, and whether a more urgent kind uses its service. A counter has such requests by service and outcome; /state shows the queue by service, kind and priority. With scope "domain" the line and the state stay as they are.

--- a/lavenderstile/edge/admission/expected_wait.py
+++ b/lavenderstile/edge/admission/expected_wait.py
@@ -20,9 +20,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """A request that cannot be served in its time."""
+    """A request that cannot be served in its time; `ahead` go before it."""
 
     expected_s: float
+    ahead: int
     retry_after_s: float
 
 
@@ -31,6 +32,7 @@
     """A request that may wait; `expected_s` is None if not known."""
 
     expected_s: float | None
+    ahead: int = 0
 
 
 class ExpectedWaits:
@@ -72,9 +74,11 @@
         )
         excess_s = expected_s - (longest_wait_s - margin_s)
         if excess_s <= 0:
-            return Accepted(expected_s)
+            return Accepted(expected_s, ahead)
         return Refused(
-            expected_s, self._reserve_room(service, excess_s, interval_s, now)
+            expected_s,
+            ahead,
+            self._reserve_room(service, excess_s, interval_s, now),
         )
 
     def _estimate_start_interval(self, service, now):
--- a/lavenderstile/edge/admission/fleet_waiting.py
+++ b/lavenderstile/edge/admission/fleet_waiting.py
@@ -72,6 +72,17 @@
                 by_priority[priority] = heapq.nsmallest(REPORTED_STARTS, found)
         return starts
 
+    def describe(self):
+        """Return the queue by service, kind and priority for operators."""
+        queue = {}
+        for service, counts in self.counts.items():
+            kinds = queue[service] = {}
+            for reported, count in counts.items():
+                priority, is_deferrable = _parse_priority(reported)
+                kind = 'deferrable' if is_deferrable else 'urgent'
+                kinds.setdefault(kind, {})[priority] = count
+        return queue
+
     def must_yield(self, service, priority, turn=None):
         """Return whether a new request has to wait for others."""
         own = self._waiting.get(service, ())
--- a/lavenderstile/edge/admission/waiting.py
+++ b/lavenderstile/edge/admission/waiting.py
@@ -79,6 +79,10 @@
                 )
         return counts
 
+    def describe(self):
+        """Return the queue for operators."""
+        return self.counts
+
     @property
     def starts(self):
         """Nothing; peers learn only the counts."""
--- a/lavenderstile/edge/calls.py
+++ b/lavenderstile/edge/calls.py
@@ -45,6 +45,8 @@
     `relayed` is the `RelayedRequest` if another host sent it, which may have
     made some of the attempts. `excluded` has the instances that were tried,
     `unreachable` those of them to which this host could not connect.
+    `queue_fields` are the log fields of its last wait for a slot, if the
+    expected wait is estimated.
     """
 
     __slots__ = (
@@ -53,12 +55,12 @@
         'deadline',
         'digest',
         'excluded',
-        'expected_wait_s',
         'failure',
         'key',
         'may_have_run',
         'may_relay',
         'priority',
+        'queue_fields',
         'relayed',
         'request',
         'request_id',
@@ -84,7 +86,7 @@
         self.priority = _find_priority(route, workspace)
         self.wait_deadline = None
         self.waited_s = 0.0
-        self.expected_wait_s = None
+        self.queue_fields = {}
         self.retry_after_s = None
         self.service = None
         self.digest = None
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -159,6 +159,7 @@
             outcome=outcome,
             took_ms=round(duration_s * 1000),
             version=self._get_version(),
+            **(call.queue_fields if call else {}),
         )
 
     def _get_version(self):
@@ -371,16 +372,18 @@
         turn = self._kind_urgency.make_turn(
             call.service, call.route, call.request.arrived_at, call.deadline
         )
+        cause = 'others go first'
         if not self._waiting.must_yield(call.service, call.priority, turn):
             known = self._try_find_target(call)
             if known is not None:
                 return known
+            cause = 'no free slot'
         now = self._clock.now()
         if call.wait_deadline is None:
             call.wait_deadline = now + self._kind_urgency.get_longest_wait(
                 call.service, call.route, call.deadline - now
             )
-        self._refuse_without_time(call, turn, now)
+        self._refuse_without_time(call, turn, cause, now)
         with self._queue(call, turn, now) as entry:
             while (known := self._take_turn(call, entry)) is None:
                 if self._clock.now() >= call.wait_deadline:
@@ -394,15 +397,21 @@
             entry.has_slot = True
         return known
 
-    def _refuse_without_time(self, call, turn, now):
+    def _refuse_without_time(self, call, turn, cause, now):
         """Refuse a request whose expected wait is longer than it may wait."""
-        match self._expected_waits.check(
+        outcome = self._expected_waits.check(
             call.service, call.priority, turn, call.wait_deadline - now, now
-        ):
-            case expected_wait.Accepted(expected_s):
-                call.expected_wait_s = expected_s
-            case expected_wait.Refused(expected_s, retry_after_s):
-                call.expected_wait_s = expected_s
+        )
+        if outcome.expected_s is not None:
+            call.queue_fields = {
+                'wait_cause': cause,
+                'expected_wait_ms': round(outcome.expected_s * 1000),
+                'ahead': outcome.ahead,
+                'is_deferrable': turn.is_deferrable,
+            }
+        match outcome:
+            case expected_wait.Refused(expected_s, _, retry_after_s):
+                self._metrics.count_queued(call.service, 'refused on arrival')
                 self._give_up(
                     call,
                     Reason.NO_CAPACITY,
@@ -443,6 +452,11 @@
         finally:
             self._waiting.remove(entry)
             self._waiting.wake()
+            if call.queue_fields:
+                self._metrics.count_queued(
+                    call.service,
+                    'got a slot' if entry.has_slot else 'got none',
+                )
             call.waited_s += self._clock.now() - now
             self._reports.schedule_update()
 
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -245,7 +245,7 @@
             'hosts_heard': parts.fleet.count_reachable(now),
             'hosts_of_domain': sorted(parts.fleet.members),
             'connections': self._callers.open_count,
-            'waiting': parts.waiting.counts,
+            'waiting': parts.waiting.describe(),
             'targets': {
                 instance: {
                     'service': known.target.service,
--- a/lavenderstile/edge/metrics.py
+++ b/lavenderstile/edge/metrics.py
@@ -25,6 +25,10 @@
             'edge_retry_budget_empty_total',
             'Second sends that the budget did not allow, by service.',
         )
+        self._queued = self._counter(
+            'edge_queued_total',
+            'Requests that found no slot at once, by service and outcome.',
+        )
         self._relays = self._counter(
             'edge_relays_total', 'Requests sent to other hosts by outcome.'
         )
@@ -67,6 +71,10 @@
         """Count a retry that the retry budget denied."""
         self._budget.inc({'service': service})
 
+    def count_queued(self, service, outcome):
+        """Count a request that found no free slot at once."""
+        self._queued.inc({'service': service, 'outcome': outcome})
+
     def count_relay(self, outcome):
         """Count a request that another host was asked to send."""
         self._relays.inc({'outcome': outcome})
--- a/tests/edge/admission/shared_service.py
+++ b/tests/edge/admission/shared_service.py
@@ -199,7 +199,7 @@
             match host.expected_waits.check(
                 SERVICE, 1, turn, longest_wait_s, now
             ):
-                case expected_wait.Refused(_, retry_after_s):
+                case expected_wait.Refused(_, _, retry_after_s):
                     self.lost[kind] += 1
                     self.retry_times[kind].append(now + retry_after_s)
                     return
--- a/tests/edge/admission/test_fleet_waiting.py
+++ b/tests/edge/admission/test_fleet_waiting.py
@@ -203,6 +203,14 @@
         self.apply_update('10.1.0.2', waiting={SERVICE: {0: 1}})
         self.assertGreater(self.get_handoff_wait(entry), 0.0)
 
+    def test_operators_see_kinds_and_priorities(self):
+        self.add(0)
+        self.add(2, is_deferrable=True)
+        self.assertEqual(
+            self.queue.describe(),
+            {SERVICE: {'urgent': {0: 1}, 'deferrable': {2: 1}}},
+        )
+
     def test_only_the_first_starts_are_reported(self):
         for number in range(9):
             self.add(start_in_s=1.0 - number / 10)
--- a/tests/edge/edge_case.py
+++ b/tests/edge/edge_case.py
@@ -125,10 +125,12 @@
 class EdgeCase(unittest.IsolatedAsyncioTestCase):
     """Starts the request path of a host; tests add the targets."""
 
+    SETTINGS = {}
+
     async def asyncSetUp(self):
         self.clock = clocks.Clock()
         self.parts = host.Parts(
-            make_settings(), headers.Headers(), self.clock, 1
+            make_settings(**self.SETTINGS), headers.Headers(), self.clock, 1
         )
         self.handler = handler.RequestHandler(self.parts)
         self.server = callers.CallerServer(self.clock, self.handler)
