--- a/lavenderstile/edge/waiting.py
+++ b/lavenderstile/edge/admission/waiting.py
@@ -15,31 +15,45 @@
 class WaitingRequest:
     """One request that waits; `priority` 0 is the most urgent.
 
-    `has_slot` is set when it leaves the queue for a target.
+    `turn` is its `urgency.Turn`, which only scope `FLEET` uses. `offered_at`
+    is the time since which it leaves a slot to requests of peers. `has_slot`
+    is set when it leaves the queue for a target.
     """
 
     __slots__ = (
         'has_slot',
         'number',
+        'offered_at',
         'priority',
         'service',
+        'turn',
         'wakeup',
         'workspace',
         'yields_until',
     )
 
-    def __init__(self, number, service, priority, workspace, yields_until):
+    def __init__(
+        self,
+        number,
+        service,
+        priority,
+        workspace,
+        yields_until,
+        turn,
+    ):
         self.number = number
         self.service = service
         self.priority = priority
         self.workspace = workspace
         self.yields_until = yields_until
+        self.turn = turn
+        self.offered_at = None
         self.has_slot = False
         self.wakeup = asyncio.Event()
 
 
 class WaitingRequests:
-    """The waiting requests of this host.
+    """The waiting requests of this host, with scope `DOMAIN`.
 
     They go by priority. Within one, the workspaces whose requests got the
     fewest slots since the queue was last empty go first, then the oldest.
@@ -65,7 +79,24 @@
                 )
         return counts
 
-    def add(self, service, priority, workspace, now, longest_wait_s):
+    def describe(self):
+        """Return the queue for operators."""
+        return self.counts
+
+    @property
+    def starts(self):
+        """Nothing; peers learn only the counts."""
+        return {}
+
+    def add(
+        self,
+        service,
+        priority,
+        workspace,
+        now,
+        longest_wait_s,
+        turn=None,
+    ):
         """Add a request; return its `WaitingRequest`."""
         entry = WaitingRequest(
             next(self._numbers),
@@ -73,6 +104,7 @@
             priority,
             workspace,
             now + YIELDING_SHARE * longest_wait_s,
+            turn,
         )
         self._waiting.setdefault(service, []).append(entry)
         return entry
@@ -88,7 +120,7 @@
             del self._waiting[entry.service]
             del self._granted[entry.service]
 
-    def must_yield(self, service, priority):
+    def must_yield(self, service, priority, turn=None):
         """Return whether a new request has to wait for more urgent ones."""
         own = self._waiting.get(service, ())
         return any(entry.priority <= priority for entry in own) or (
@@ -112,6 +144,10 @@
             entry.number,
         )
 
+    def get_handoff_wait(self, entry, now):
+        """Return how long to leave a free slot to peers, in seconds."""
+        return 0.0
+
     def wake(self):
         """Let the next request of each service look for a slot."""
         for entries in self._waiting.values():
--- a/lavenderstile/edge/explainer.py
+++ b/lavenderstile/edge/explainer.py
@@ -125,7 +125,9 @@
         return explanation.ServiceExplanation(
             service,
             weighted.weight,
-            self._decide(service, priority, timeout_s, assessments, now),
+            self._decide(
+                service, route, priority, timeout_s, assessments, now
+            ),
             candidates,
         )
 
@@ -150,7 +152,7 @@
             )
         ]
 
-    def _decide(self, service, priority, timeout_s, assessments, now):
+    def _decide(self, service, route, priority, timeout_s, assessments, now):
         """Return the `Decision` on a request to a service."""
         parts = self._parts
         if parts.paths.is_cut:
@@ -170,8 +172,10 @@
             if found.exclusion is None
         ]
         target = chosen[0] if chosen else None
-        longest_s = handler.MAX_WAIT_SHARE * timeout_s
-        if parts.waiting.must_yield(service, priority):
+        urgency = parts.kind_urgency
+        turn = urgency.make_turn(service, route, now, now + timeout_s)
+        longest_s = urgency.get_longest_wait(service, route, timeout_s)
+        if parts.waiting.must_yield(service, priority, turn):
             detail = f'behind other requests, for {longest_s:.2f} s at most'
             return Decision('wait', detail, target)
         if target is not None:
--- a/lavenderstile/edge/fleet.py
+++ b/lavenderstile/edge/fleet.py
@@ -25,7 +25,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """A host of the same failure domain."""
+    """A host of the same failure domain.
+
+    `starts` has the latest starts of its first waiting requests for meeting
+    their objectives, by service and priority.
+    """
 
     address: str
     started_ms: int
@@ -38,6 +42,9 @@
     waiting: dict[str, dict[int, int]]
     limited_sends: dict[str, int]
     reaches_targets: bool
+    starts: dict[str, dict[int, list[float]]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -243,6 +250,7 @@
         self._count_running(update.running, 1)
         peer.running = update.running
         peer.waiting = update.waiting
+        peer.starts = _convert_starts(update.starts, now)
         peer.reaches_targets = update.reaches_targets
         peer.admitted.update(update.admitted)
         peer.sends.update(update.sends)
@@ -305,6 +313,17 @@
                 self._running.pop(instance, None)
 
 
+def _convert_starts(starts, now):
+    """Return times for the milliseconds from now in an update."""
+    return {
+        service: {
+            priority: [now + start_ms / 1000 for start_ms in found]
+            for priority, found in by_priority.items()
+        }
+        for service, by_priority in starts.items()
+    }
+
+
 def _subtract(new, old):
     return {
         name: count - old.get(name, 0)
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -20,6 +20,7 @@
 from . import refusals
 from . import relay as relay_module
 from . import target_sender
+from .admission import expected_wait
 
 Answered = calls.Answered
 Failed = calls.Failed
@@ -36,10 +37,9 @@
 # do not count as attempts.
 MAX_CONNECT_FAILURES = 3
 
-# Share of its remaining time that a request may wait for a target with a free
-# slot. It looks for one when an event may have freed a slot, and at this
-# interval, because blocks and load reports expire without an event.
-MAX_WAIT_SHARE = 0.3
+# A waiting request looks for a target with a free slot when an event may have
+# freed one, and at this interval, because blocks and load reports expire
+# without an event.
 WAIT_POLL_INTERVAL_S = 0.03
 
 # Retry-After if only a change of the targets can provide a free slot.
@@ -74,6 +74,8 @@
         self._guard = parts.guard
         self._reports = parts.reports
         self._waiting = parts.waiting
+        self._kind_urgency = parts.kind_urgency
+        self._expected_waits = parts.expected_waits
         self._metrics = parts.metrics
         self._sender = target_sender.TargetSender(parts)
         self._random = random.Random()
@@ -157,6 +159,7 @@
             outcome=outcome,
             took_ms=round(duration_s * 1000),
             version=self._get_version(),
+            **(call.queue_fields if call else {}),
         )
 
     def _get_version(self):
@@ -372,18 +375,23 @@
 
     async def _find_target(self, call):
         """Return the target to send to, after a wait for a slot if needed."""
-        if not self._waiting.must_yield(call.service, call.priority):
+        turn = self._kind_urgency.make_turn(
+            call.service, call.route, call.request.arrived_at, call.deadline
+        )
+        cause = 'others go first'
+        if not self._waiting.must_yield(call.service, call.priority, turn):
             known = self._try_find_target(call)
             if known is not None:
                 return known
+            cause = 'no free slot'
         now = self._clock.now()
-        remaining_s = call.deadline - now
         if call.wait_deadline is None:
-            call.wait_deadline = now + MAX_WAIT_SHARE * remaining_s
-        with self._queue(call, now) as entry:
-            while not self._waiting.is_next(entry, self._clock.now()) or (
-                (known := self._try_find_target(call)) is None
-            ):
+            call.wait_deadline = now + self._kind_urgency.get_longest_wait(
+                call.service, call.route, call.deadline - now
+            )
+        self._refuse_without_time(call, turn, cause, now)
+        with self._queue(call, turn, now) as entry:
+            while (known := self._take_turn(call, entry)) is None:
                 if self._clock.now() >= call.wait_deadline:
                     self._give_up(
                         call,
@@ -395,8 +403,46 @@
             entry.has_slot = True
         return known
 
+    def _refuse_without_time(self, call, turn, cause, now):
+        """Refuse a request whose expected wait is longer than it may wait."""
+        outcome = self._expected_waits.check(
+            call.service, call.priority, turn, call.wait_deadline - now, now
+        )
+        if outcome.expected_s is not None:
+            call.queue_fields = {
+                'wait_cause': cause,
+                'expected_wait_ms': round(outcome.expected_s * 1000),
+                'ahead': outcome.ahead,
+                'is_deferrable': turn.is_deferrable,
+            }
+        match outcome:
+            case expected_wait.Refused(expected_s, _, retry_after_s):
+                self._metrics.count_queued(call.service, 'refused on arrival')
+                self._give_up(
+                    call,
+                    Reason.NO_CAPACITY,
+                    f'the expected wait of {expected_s:.2f} s is too long',
+                    expected_wait.limit_retry_after(
+                        retry_after_s, call.deadline - now
+                    ),
+                )
+
+    def _take_turn(self, call, entry):
+        """Return a target for a waiting request, or None if not yet."""
+        now = self._clock.now()
+        known = None
+        if self._waiting.is_next(entry, now):
+            known = self._try_find_target(call)
+        if known is None:
+            entry.offered_at = None
+        elif now < call.wait_deadline and self._waiting.get_handoff_wait(
+            entry, now
+        ):
+            return None
+        return known
+
     @contextlib.contextmanager
-    def _queue(self, call, now):
+    def _queue(self, call, turn, now):
         """Queue the request, which the peers learn, during the block."""
         entry = self._waiting.add(
             call.service,
@@ -404,6 +450,7 @@
             call.workspace and call.workspace.name,
             now,
             call.wait_deadline - now,
+            turn,
         )
         self._reports.schedule_update()
         try:
@@ -411,6 +458,11 @@
         finally:
             self._waiting.remove(entry)
             self._waiting.wake()
+            if call.queue_fields:
+                self._metrics.count_queued(
+                    call.service,
+                    'got a slot' if entry.has_slot else 'got none',
+                )
             call.waited_s += self._clock.now() - now
             self._reports.schedule_update()
 
@@ -451,6 +503,7 @@
             call.route.idempotent,
             call.excluded,
             lambda instance: self._pools.has_idle(instance, is_cautious),
+            self._kind_urgency.get_queue_per_slot(call.service, call.route),
         )
 
     def _may_send_again(self, call, now):
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -34,8 +34,11 @@
 from . import settings as settings_module
 from . import target_limits as target_limits_module
 from . import target_pools
-from . import waiting as waiting_module
 from . import watcher_selection as watcher_selection_module
+from .admission import expected_wait
+from .admission import fleet_waiting
+from .admission import urgency
+from .admission import waiting as waiting_module
 from .evidence import notices as notices_module
 from .listeners import limits
 from .listeners import resources
@@ -73,11 +76,13 @@
         'budgets',
         'clock',
         'directory',
+        'expected_waits',
         'fleet',
         'guard',
         'header_codec',
         'health',
         'health_exchange',
+        'kind_urgency',
         'metrics',
         'notices',
         'outcomes',
@@ -101,7 +106,11 @@
         self.fleet = fleet_module.Fleet(
             settings.address, settings.domain, started_ms
         )
-        self.waiting = waiting_module.WaitingRequests(self.fleet)
+        self.waiting = (
+            fleet_waiting.FleetWaitingRequests(self.fleet, clock)
+            if settings.balancing.scope is settings_module.Scope.FLEET
+            else waiting_module.WaitingRequests(self.fleet)
+        )
         self.rate_limits = rate_limits_module.RateLimits()
         is_pooled = settings.balancing.scope is settings_module.Scope.FLEET
         self.health = health_module.HealthTracker(
@@ -116,6 +125,16 @@
         self.watcher_selection = watcher_selection_module.WatcherSelection(
             self.fleet
         )
+        self.kind_urgency = urgency.KindUrgency(
+            self.directory, self.health, settings.balancing.scope
+        )
+        self.expected_waits = expected_wait.ExpectedWaits(
+            self.directory,
+            self.fleet,
+            self.health,
+            self.waiting,
+            settings.balancing.scope,
+        )
         self.outcomes = outcomes_module.Outcomes()
         self.target_limits = target_limits_module.TargetLimits(
             self.directory, self.fleet
@@ -275,7 +294,7 @@
             'hosts_heard': parts.fleet.count_reachable(now),
             'hosts_of_domain': sorted(parts.fleet.members),
             'connections': self._callers.open_count,
-            'waiting': parts.waiting.counts,
+            'waiting': parts.waiting.describe(),
             'targets': {
                 instance: {
                     'service': known.target.service,
--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -84,6 +84,7 @@
     __slots__ = (
         '_places',
         'checked_at',
+        'full_queue_per_slot',
         'full_until',
         'full_wait_s',
         'looks_left',
@@ -99,6 +100,8 @@
         self.checked_at = 0.0
         self.full_until = 0.0
         self.full_wait_s = math.inf
+        # The walk was of a request that took places in queues up to this.
+        self.full_queue_per_slot = 0.0
         self.looks_left = 0
         self._places = None
 
@@ -130,13 +133,21 @@
         'has_connection',
         'is_idempotent',
         'now',
+        'queue_per_slot',
         'score',
         'service',
         'wait_s',
     )
 
     def __init__(
-        self, service, now, kilobytes, is_idempotent, excluded, has_connection
+        self,
+        service,
+        now,
+        kilobytes,
+        is_idempotent,
+        excluded,
+        has_connection,
+        queue_per_slot,
     ):
         self.service = service
         self.now = now
@@ -147,6 +158,7 @@
         self.is_idempotent = is_idempotent
         self.excluded = excluded
         self.has_connection = has_connection
+        self.queue_per_slot = queue_per_slot
         self.best = None
         self.score = math.inf
         self.wait_s = 0.0
@@ -240,14 +252,27 @@
         }
 
     def choose(
-        self, service, now, kilobytes, is_idempotent, excluded, has_connection
+        self,
+        service,
+        now,
+        kilobytes,
+        is_idempotent,
+        excluded,
+        has_connection,
+        queue_per_slot=balancing.QUEUE_PER_SLOT,
     ):
         """Return `Chosen`, `Full` or `NoTarget` for a request.
 
         See `balancing.Balancer.choose`.
         """
         search = _Search(
-            service, now, kilobytes, is_idempotent, excluded, has_connection
+            service,
+            now,
+            kilobytes,
+            is_idempotent,
+            excluded,
+            has_connection,
+            queue_per_slot,
         )
         found = self._get_pools(service)
         self._check_some(found, now)
@@ -385,7 +410,11 @@
     def _walk(self, search, found):
         """Consider all targets, unless a walk just found them full."""
         found.looks_left -= 1
-        if found.looks_left >= 0 and search.now < found.full_until:
+        if (
+            found.looks_left >= 0
+            and search.now < found.full_until
+            and search.queue_per_slot <= found.full_queue_per_slot
+        ):
             search.full_wait_s = min(search.full_wait_s, found.full_wait_s)
             return
         names = [known.target.instance for known in found.source]
@@ -397,6 +426,7 @@
         if search.best is None and not search.excluded:
             found.full_wait_s = search.full_wait_s
             found.full_until = search.now + FULL_WALK_INTERVAL_S
+            found.full_queue_per_slot = search.queue_per_slot
             found.looks_left = len(names) // TARGETS_PER_LOOK
 
     def _consider(self, search, known, penalty_s):
@@ -418,7 +448,7 @@
             return None
         room = self.estimate_room(target, now)
         wait_s = room.wait_s
-        if 1 - room.free > balancing.QUEUE_PER_SLOT * target.slots:
+        if 1 - room.free > search.queue_per_slot * target.slots:
             search.full_wait_s = min(search.full_wait_s, wait_s)
             return None
         load_share = room.running / target.slots
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -5,10 +5,10 @@
 import random
 import unittest
 
+from lavenderstile.edge.admission import waiting
 from lavenderstile.edge import balancing
 from lavenderstile.edge import fleet
 from lavenderstile.edge import health
-from lavenderstile.edge import waiting
 from tests.edge import builders
 
 SERVICE = 'ledger'
