--- a/lavenderstile/edge/balancing.py
+++ b/lavenderstile/edge/balancing.py
@@ -342,10 +342,7 @@
                 + self._random.random() * 0.01
             )
             if target.domain != self._fleet.domain:
-                score += (
-                    CROSS_DOMAIN_PENALTY_S
-                    + kilobytes * CROSS_DOMAIN_PENALTY_S_PER_KB
-                )
+                score += self._get_domain_cost(kilobytes)
             if instance in unused:
                 score -= UNUSED_BONUS_S
             if not has_connection(instance):
@@ -400,12 +397,15 @@
             'load': running / target.slots * 0.1 * latency_s,
         }
         if target.domain != self._fleet.domain:
-            parts['domain'] = (
-                CROSS_DOMAIN_PENALTY_S
-                + kilobytes * CROSS_DOMAIN_PENALTY_S_PER_KB
-            )
+            parts['domain'] = self._get_domain_cost(kilobytes)
         return parts
 
+    def _get_domain_cost(self, kilobytes):
+        """Return the cost of sending a request to another domain."""
+        return (
+            CROSS_DOMAIN_PENALTY_S + kilobytes * CROSS_DOMAIN_PENALTY_S_PER_KB
+        )
+
     def _find_exclusion(self, known, wait_s, now):
         """Return why a target is not chosen, or None, and for how long."""
         target = known.target
--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -143,7 +143,7 @@
         self,
         service,
         now,
-        kilobytes,
+        domain_cost_s,
         is_idempotent,
         excluded,
         has_connection,
@@ -151,10 +151,7 @@
     ):
         self.service = service
         self.now = now
-        self.domain_cost_s = (
-            balancing.CROSS_DOMAIN_PENALTY_S
-            + kilobytes * CROSS_DOMAIN_PENALTY_S_PER_KB
-        )
+        self.domain_cost_s = domain_cost_s
         self.is_idempotent = is_idempotent
         self.excluded = excluded
         self.has_connection = has_connection
@@ -268,7 +265,7 @@
         search = _Search(
             service,
             now,
-            kilobytes,
+            self._get_domain_cost(kilobytes),
             is_idempotent,
             excluded,
             has_connection,
@@ -487,5 +484,28 @@
                 if penalty_s <= PROVEN_PENALTY_S:
                     pool.add_proven(instance)
 
+    def _get_domain_cost(self, kilobytes):
+        """Return the cost of sending a request to another domain."""
+        return (
+            balancing.CROSS_DOMAIN_PENALTY_S
+            + kilobytes * CROSS_DOMAIN_PENALTY_S_PER_KB
+        )
+
+    def _estimate_running(self, instance, now):
+        """Return the expected requests in flight, for explanations."""
+        target = self._directory.targets[instance].target
+        return self.estimate_room(target, now).running
+
+    def _find_exclusion(self, known, wait_s, now):
+        """Return why a target is not chosen, or None, and for how long."""
+        exclusion, full_s = super()._find_exclusion(known, wait_s, now)
+        instance = known.target.instance
+        if exclusion is None and retests.is_failing(
+            self._health, instance, now
+        ):
+            age_s = self._health.get_fault_age(instance, now)
+            return f'failed a request {age_s:.1f} s ago', wait_s
+        return exclusion, full_s
+
     def _is_own(self, target):
         return target.domain == self._fleet.domain
--- a/tests/edge/test_explainer.py
+++ b/tests/edge/test_explainer.py
@@ -15,9 +15,11 @@
 from lavenderstile.edge import crash_guard
 from lavenderstile.edge import explainer
 from lavenderstile.edge import explanation
+from lavenderstile.edge import health
 from lavenderstile.edge import host
 from lavenderstile.edge import models
 from lavenderstile.edge import parsed_headers
+from lavenderstile.edge import settings
 from lavenderstile import errors
 from tests.edge import builders
 from tests.edge import edge_case
@@ -67,10 +69,16 @@
 class ExplainerCase(unittest.TestCase):
     """Test case with the parts of a host and a virtual clock."""
 
+    SCOPE = settings.Scope.DOMAIN
+
     def setUp(self):
         self.clock = clocks.VirtualClock()
         self.parts = host.Parts(
-            edge_case.make_settings(address='10.1.0.1', domain='a'),
+            edge_case.make_settings(
+                address='10.1.0.1',
+                domain='a',
+                balancing=settings.BalancingSettings(self.SCOPE),
+            ),
             None,
             self.clock,
             1,
@@ -345,6 +353,48 @@
         self.assertEqual(self.decide().action, 'relay')
 
 
+class FleetDecisionTest(ExplainerCase):
+    """Guards against the rules of separate domains in a fleet's explanation.
+
+    The targets of all domains are one pool there, and requests wait by the
+    urgency of their kind.
+    """
+
+    SCOPE = settings.Scope.FLEET
+
+    def setUp(self):
+        super().setUp()
+        self.configure(
+            builders.make_target('i-1'),
+            builders.make_target('i-2', domain='b'),
+        )
+
+    def explain_targets(self):
+        """Return the explanation of each target."""
+        (service,) = self.explain(size=2048).services
+        return {found.instance: found for found in service.candidates}
+
+    def test_another_domain_costs_more_for_each_kilobyte(self):
+        parts = self.explain_targets()['i-2'].parts
+        self.assertAlmostEqual(parts['domain'], 0.25 + 2 * 0.015, 3)
+
+    def test_a_target_that_has_just_failed_is_left_out(self):
+        self.parts.health.record_fault(
+            'i-1', health.FaultKind.ERROR, self.clock.now()
+        )
+        self.assertIn('failed', self.explain_targets()['i-1'].exclusion)
+        self.assertEqual(self.decide().target, 'i-2')
+
+    def test_a_request_behind_others_waits(self):
+        turn = self.parts.kind_urgency.make_turn(
+            'ledger', ROUTES[0], self.clock.now(), self.clock.now() + 1.0
+        )
+        self.parts.waiting.add(
+            'ledger', 0, 'club', self.clock.now(), 1.0, turn
+        )
+        self.assertEqual(self.decide().action, 'wait')
+
+
 class NoChangeTest(ExplainerCase):
     """Guards against a question that costs a token or counts as a request."""
 
