--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -262,9 +262,11 @@
         proven = search.best
         base_s = FAST_SHARE * self._health.get_mean_latency(search.service)
         if search.score > base_s + search.domain_cost_s:
-            # Few of the other domains' targets are proven, because the own
-            # domain seldom uses them.
-            if not self._try_proven(search, found.others):
+            # Beside a target of the own domain, random ones do: few of the
+            # others are proven, and hosts would meet at them.
+            if proven is not None or not self._try_proven(
+                search, found.others
+            ):
                 self._try_all(search, found.others.draw(REMOTE_DRAWS))
         # Less proven targets are an alternative to a queue or another domain,
         # at the cost of their doubt, but never to a free slot that was not
