Weigh the age of a proof more for requests that may not be repeated

Draws took targets whose last response was up to two seconds old like those that had just responded.

The doubt about proven targets now has three times its weight for requests that are not idempotent, and five times for targets of other domains.

--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -47,6 +47,13 @@
 # with the same knowledge meet at the one that responded last.
 PROVEN_PENALTY_S = balancing.DOUBT_PROBABILITY * health.FAILURE_COST_S
 
+# Additional weights of the doubt about proven targets, for requests that are not
+# idempotent and for targets of other domains. The penalty grows slowly in the
+# first seconds after a response, in which many failures begin; the last
+# responses of targets in other domains are older.
+UNSAFE_DOUBT_WEIGHT = 2.0
+REMOTE_DOUBT_WEIGHT = 4.0
+
 # The walks over all targets of a service for unused ones are this far apart
 # for each target, so that their cost does not grow with the service. The
 # maximum is short beside the time after which a target counts as unused.
@@ -405,6 +412,9 @@
         )
         if not self._is_own(target):
             score += search.domain_cost_s
+            score += REMOTE_DOUBT_WEIGHT * min(penalty_s, PROVEN_PENALTY_S)
+        elif not search.is_idempotent:
+            score += UNSAFE_DOUBT_WEIGHT * min(penalty_s, PROVEN_PENALTY_S)
         if not search.has_connection(instance):
             score += balancing.CONNECT_PENALTY_S
         if score < search.score:
