--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -47,9 +47,9 @@
 # with the same knowledge meet at the one that responded last.
 PROVEN_PENALTY_S = balancing.DOUBT_PROBABILITY * health.FAILURE_COST_S
 
-# Additional weights of the doubt about proven targets, for requests that are not
-# idempotent and for targets of other domains. The penalty grows slowly in the
-# first seconds after a response, in which many failures begin; the last
+# Additional weights of the doubt about proven targets, for requests that are
+# not idempotent and for targets of other domains. The penalty grows slowly in
+# the first seconds after a response, in which many failures begin; the last
 # responses of targets in other domains are older.
 UNSAFE_DOUBT_WEIGHT = 2.0
 REMOTE_DOUBT_WEIGHT = 4.0
