--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -53,6 +53,13 @@
 # for longer than most requests take.
 CROSS_DOMAIN_PENALTY_S_PER_KB = 0.015
 
+# Additional weights of the doubt about proven targets, for requests that are
+# not idempotent and for targets of other domains. The penalty grows slowly in
+# the first seconds after a response, in which many failures begin; the last
+# responses of targets in other domains are older.
+UNSAFE_DOUBT_WEIGHT = 2.0
+REMOTE_DOUBT_WEIGHT = 4.0
+
 # The walks over all targets of a service for unused ones are this far apart
 # for each target, so that their cost does not grow with the service. The
 # maximum is short beside the time after which a target counts as unused.
@@ -290,9 +297,11 @@
         proven = search.best
         base_s = FAST_SHARE * self._health.get_mean_latency(search.service)
         if search.score > base_s + search.domain_cost_s:
-            # Few of the other domains' targets are proven, because the own
-            # domain seldom uses them.
-            if not self._try_proven(search, found.others):
+            # Beside a target of the own domain, random ones do: few of the
+            # others are proven, and hosts would meet at them.
+            if proven is not None or not self._try_proven(
+                search, found.others
+            ):
                 self._try_all(search, found.others.draw(REMOTE_DRAWS))
         # Less proven targets are an alternative to a queue or another domain,
         # at the cost of their doubt, but never to a free slot that was not
@@ -457,6 +466,9 @@
         )
         if not self._is_own(target):
             score += search.domain_cost_s
+            score += REMOTE_DOUBT_WEIGHT * min(penalty_s, PROVEN_PENALTY_S)
+        elif not search.is_idempotent:
+            score += UNSAFE_DOUBT_WEIGHT * min(penalty_s, PROVEN_PENALTY_S)
         if not search.has_connection(instance):
             score += balancing.CONNECT_PENALTY_S
         if score < search.score:
