Let requests beyond their workspace's share go last

Cause: a workspace that sends 4 to 7 times its usual for some seconds takes the slots of the others; grants are counted per host, and most hosts have only one or two waiting requests.

Change, with scope "fleet" only: each host compares the present rate of a workspace (1 s) with its usual one (60 s), from what all hosts admit, which they report already. Requests beyond 1.5 times the usual rate, two standard deviations and one request a second wait behind others of their kind and priority; a long wait ends that, so none starves. Peers learn of them by their priority plus 2**36. Only workspaces with a rate limit are known. The request's log line has is_surplus.

Ruled out: fewer places at targets for such requests. A peak of all workspaces would then put the most urgent kind behind others.

The effect on other workspaces under load was not measured.

--- a/lavenderstile/edge/admission/fleet_waiting.py
+++ b/lavenderstile/edge/admission/fleet_waiting.py
@@ -8,6 +8,7 @@
 import heapq
 import math
 
+from . import urgency
 from . import waiting
 
 # Hosts report deferrable requests under their priority plus this number. An
@@ -15,6 +16,10 @@
 # 2**31 on both sides of zero.
 DEFERRABLE_OFFSET = 2**33
 
+# Requests beyond the share of their workspace are reported with this number on
+# top, which is larger than the sum of the others.
+SURPLUS_OFFSET = 2**36
+
 # Number of requests by service and priority whose latest starts are reported.
 REPORTED_STARTS = 4
 
@@ -29,11 +34,11 @@
 class FleetWaitingRequests(waiting.WaitingRequests):
     """The waiting requests of this host, with scope `FLEET`.
 
-    They go by priority. Within one, those that have to start first to meet
-    their objective go first, then the workspaces whose requests got the fewest
-    slots. A new request so goes after those whose wait was estimated before.
-    Others do not wait for deferrable requests, which cannot use the places
-    that are left at targets.
+    They go by priority. Within one, those within the share of their workspace
+    go first, then those that have to start first to meet their objective, then
+    the workspaces whose requests got the fewest slots. A new request so goes
+    after those whose wait was estimated before. Others do not wait for
+    deferrable requests, which cannot use the places that are left at targets.
     """
 
     __slots__ = ('_clock',)
@@ -78,32 +83,31 @@
         for service, counts in self.counts.items():
             kinds = queue[service] = {}
             for reported, count in counts.items():
-                priority, is_deferrable = _parse_priority(reported)
+                priority, is_deferrable, _ = _parse_priority(reported)
                 kind = 'deferrable' if is_deferrable else 'urgent'
-                kinds.setdefault(kind, {})[priority] = count
+                by_priority = kinds.setdefault(kind, {})
+                by_priority[priority] = by_priority.get(priority, 0) + count
         return queue
 
     def must_yield(self, service, priority, turn=None):
         """Return whether a new request has to wait for others."""
         own = self._waiting.get(service, ())
         return any(
-            entry.priority <= priority
-            and (turn.is_deferrable or not entry.turn.is_deferrable)
+            _is_before(entry.priority, entry.turn, priority, turn)
             for entry in own
         ) or bool(self._count_ahead(service, priority, turn))
 
     def count_before(self, service, priority, turn):
         """Count the requests of the domain that go before a new one."""
         own = sum(
-            entry.priority <= priority
-            and (turn.is_deferrable or not entry.turn.is_deferrable)
+            _is_before(entry.priority, entry.turn, priority, turn)
             for entry in self._waiting.get(service, ())
         )
         return own + sum(
             count
             for peer in self._fleet.peers.values()
             for reported, count in peer.waiting.get(service, {}).items()
-            if _is_before(reported, priority, turn)
+            if _is_reported_before(reported, priority, turn)
         )
 
     def is_next(self, entry, now):
@@ -145,6 +149,7 @@
         return (
             _get_priority(entry, now),
             turn.is_deferrable,
+            turn.is_surplus,
             turn.starts_by // turn.close_s,
             granted.get(entry.workspace, 0),
             entry.number,
@@ -156,11 +161,12 @@
         own_key = (
             priority,
             turn.is_deferrable,
+            turn.is_surplus,
             turn.starts_by - turn.close_s,
         )
         for peer in self._fleet.peers.values():
             for key in _list_keys(peer, service):
-                _, is_deferrable, _ = key
+                _, is_deferrable, _, _ = key
                 if is_deferrable and not turn.is_deferrable:
                     continue
                 ahead += key < own_key
@@ -178,27 +184,42 @@
     if starts is None:
         starts = dict.fromkeys(peer.waiting.get(service, ()), (math.inf,))
     for reported, found in starts.items():
-        priority, is_deferrable = _parse_priority(reported)
+        key = _parse_priority(reported)
         for start in found:
-            yield priority, is_deferrable, start
+            yield *key, start
+
+
+def _get_reported_priority(entry):
+    return (
+        entry.priority
+        + DEFERRABLE_OFFSET * entry.turn.is_deferrable
+        + SURPLUS_OFFSET * entry.turn.is_surplus
+    )
 
 
 def _parse_priority(reported):
-    """Return the priority and whether the requests are deferrable."""
+    """Return priority, whether deferrable, and whether beyond the share."""
+    is_surplus = reported > SURPLUS_OFFSET // 2
+    reported -= SURPLUS_OFFSET * is_surplus
     is_deferrable = reported > DEFERRABLE_OFFSET // 2
-    return reported - DEFERRABLE_OFFSET * is_deferrable, is_deferrable
+    reported -= DEFERRABLE_OFFSET * is_deferrable
+    return reported, is_deferrable, is_surplus
 
 
-def _is_before(reported, priority, turn):
-    """Return whether waiting requests of a peer go before a new request."""
-    peer_priority, is_deferrable = _parse_priority(reported)
-    return peer_priority <= priority and (
-        turn.is_deferrable or not is_deferrable
-    )
+def _is_before(other_priority, other, priority, turn):
+    """Return whether a waiting request goes before a new one."""
+    if other.is_deferrable and not turn.is_deferrable:
+        return False
+    if other.is_deferrable == turn.is_deferrable and other.is_surplus:
+        return other_priority <= priority and turn.is_surplus
+    return other_priority <= priority
 
 
-def _get_reported_priority(entry):
-    return entry.priority + DEFERRABLE_OFFSET * entry.turn.is_deferrable
+def _is_reported_before(reported, priority, turn):
+    """Return whether waiting requests of a peer go before a new one."""
+    other_priority, is_deferrable, is_surplus = _parse_priority(reported)
+    other = urgency.Turn(is_deferrable, 0.0, 0.0, is_surplus)
+    return _is_before(other_priority, other, priority, turn)
 
 
 def _get_priority(entry, now):
--- a/lavenderstile/edge/admission/urgency.py
+++ b/lavenderstile/edge/admission/urgency.py
@@ -32,12 +32,14 @@
 
     A request that `is_deferrable` may use fewer places at targets than others
     of its service. `starts_by` is its latest start for meeting its objective.
-    Latest starts that differ by less than `close_s` count as equal.
+    Latest starts that differ by less than `close_s` count as equal. A request
+    that `is_surplus` is beyond the share of its workspace.
     """
 
     is_deferrable: bool
     starts_by: float
     close_s: float
+    is_surplus: bool = False
 
 
 class KindUrgency:
@@ -78,7 +80,9 @@
         work_s = self._health.get_mean_latency(service)
         return min(balancing.QUEUE_PER_SLOT, delay_s / work_s)
 
-    def make_turn(self, service, route, arrived_at, deadline):
+    def make_turn(
+        self, service, route, arrived_at, deadline, is_surplus=False
+    ):
         """Return the `Turn` of a request."""
         time_s = min(get_objective(route), deadline - arrived_at)
         work_s = self._health.get_mean_latency(service)
@@ -86,6 +90,7 @@
             self.is_deferrable(service, route),
             arrived_at + time_s - work_s,
             max(CLOSE_SHARE * time_s, MIN_CLOSE_S),
+            is_surplus,
         )
 
     def get_longest_wait(self, service, route, remaining_s):
--- a/lavenderstile/edge/calls.py
+++ b/lavenderstile/edge/calls.py
@@ -56,6 +56,7 @@
         'digest',
         'excluded',
         'failure',
+        'is_surplus',
         'key',
         'may_have_run',
         'may_relay',
@@ -87,6 +88,7 @@
         self.wait_deadline = None
         self.waited_s = 0.0
         self.queue_fields = {}
+        self.is_surplus = False
         self.retry_after_s = None
         self.service = None
         self.digest = None
--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -76,6 +76,7 @@
         self._waiting = parts.waiting
         self._kind_urgency = parts.kind_urgency
         self._expected_waits = parts.expected_waits
+        self._usage = parts.usage
         self._metrics = parts.metrics
         self._sender = target_sender.TargetSender(parts)
         self._random = random.Random()
@@ -216,6 +217,9 @@
             self._budgets.record_request(call.service, self._clock.now())
             if workspace is not None:
                 self._take_token(call, workspace.name)
+                call.is_surplus = self._usage is not None and (
+                    self._usage.is_surplus(workspace.name, self._clock.now())
+                )
         return call
 
     def _take_token(self, call, workspace):
@@ -370,7 +374,11 @@
     async def _find_target(self, call):
         """Return the target to send to, after a wait for a slot if needed."""
         turn = self._kind_urgency.make_turn(
-            call.service, call.route, call.request.arrived_at, call.deadline
+            call.service,
+            call.route,
+            call.request.arrived_at,
+            call.deadline,
+            call.is_surplus,
         )
         cause = 'others go first'
         if not self._waiting.must_yield(call.service, call.priority, turn):
@@ -408,6 +416,7 @@
                 'expected_wait_ms': round(outcome.expected_s * 1000),
                 'ahead': outcome.ahead,
                 'is_deferrable': turn.is_deferrable,
+                'is_surplus': turn.is_surplus,
             }
         match outcome:
             case expected_wait.Refused(expected_s, _, retry_after_s):
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -35,6 +35,7 @@
 from .admission import expected_wait
 from .admission import fleet_waiting
 from .admission import urgency
+from .admission import usage
 from .admission import waiting as waiting_module
 
 # The load balancer in front of the hosts sends new connections until two
@@ -85,6 +86,7 @@
         'relay',
         'reports',
         'target_limits',
+        'usage',
         'waiting',
         'watcher_selection',
     )
@@ -97,12 +99,14 @@
         self.fleet = fleet_module.Fleet(
             settings.address, settings.domain, started_ms
         )
-        self.waiting = (
-            fleet_waiting.FleetWaitingRequests(self.fleet, clock)
-            if settings.balancing.scope is settings_module.Scope.FLEET
-            else waiting_module.WaitingRequests(self.fleet)
-        )
-        self.rate_limits = rate_limits_module.RateLimits()
+        self.usage = None
+        self.waiting = waiting_module.WaitingRequests(self.fleet)
+        if settings.balancing.scope is settings_module.Scope.FLEET:
+            self.usage = usage.WorkspaceUsage()
+            self.waiting = fleet_waiting.FleetWaitingRequests(
+                self.fleet, clock
+            )
+        self.rate_limits = rate_limits_module.RateLimits(self.usage)
         self.health = health_module.HealthTracker()
         self.watcher_selection = watcher_selection_module.WatcherSelection(
             self.fleet
--- a/lavenderstile/edge/rate_limits.py
+++ b/lavenderstile/edge/rate_limits.py
@@ -77,11 +77,15 @@
 
 
 class RateLimits:
-    """Token buckets of all workspaces, and the requests this host admitted."""
+    """Token buckets of all workspaces, and the requests this host admitted.
 
-    __slots__ = ('_admitted', '_buckets', '_limits', '_share')
+    `usage`, if given, learns of the admitted requests of all hosts.
+    """
 
-    def __init__(self):
+    __slots__ = ('_admitted', '_buckets', '_limits', '_share', '_usage')
+
+    def __init__(self, usage=None):
+        self._usage = usage
         self._buckets = {}
         self._limits = {}
         self._admitted = {}
@@ -111,6 +115,8 @@
                 bucket.resize(rate, burst, now, self._share)
         for name in self._buckets.keys() - limits.keys():
             del self._buckets[name]
+        if self._usage is not None:
+            self._usage.keep(limits.keys())
         self._limits = limits
 
     def take(self, workspace, now):
@@ -121,6 +127,8 @@
         wait_s = bucket.take(now, self._share)
         if not wait_s:
             self._admitted[workspace] = self._admitted.get(workspace, 0) + 1
+            if self._usage is not None:
+                self._usage.record(workspace, 1, now)
         return wait_s
 
     def describe(self, workspace):
@@ -139,3 +147,5 @@
             bucket = self._buckets.get(workspace)
             if bucket is not None:
                 bucket.record(count, now, self._share)
+                if self._usage is not None:
+                    self._usage.record(workspace, count, now)
--- a/tests/edge/admission/test_fleet_waiting.py
+++ b/tests/edge/admission/test_fleet_waiting.py
@@ -26,9 +26,10 @@
         self.fleet = fleet.Fleet('10.1.0.1', 'a', 1)
         self.queue = fleet_waiting.FleetWaitingRequests(self.fleet, self.clock)
 
-    def make_turn(self, start_in_s=1.0, is_deferrable=False):
+    def make_turn(self, start_in_s=1.0, **changes):
         start = self.clock.now() + start_in_s
-        return urgency.Turn(is_deferrable, start, CLOSE_S)
+        fields = {'is_deferrable': False, **changes}
+        return urgency.Turn(starts_by=start, close_s=CLOSE_S, **fields)
 
     def add(self, priority=1, workspace='club', queue=None, **changes):
         return (queue or self.queue).add(
@@ -147,6 +148,48 @@
         self.assertEqual(woken, [True, False, True])
 
 
+class SurplusTest(QueueCase):
+    """Guards against a workspace that takes the slots of others.
+
+    It sends many times its usual; what is beyond its share goes last.
+    """
+
+    def test_other_requests_of_the_kind_go_first(self):
+        for is_deferrable in (False, True):
+            with self.subTest(is_deferrable=is_deferrable):
+                self.setUp()
+                surplus = self.add(
+                    start_in_s=0.5,
+                    is_surplus=True,
+                    is_deferrable=is_deferrable,
+                )
+                self.assertFalse(self.must_yield(is_deferrable=is_deferrable))
+                other = self.add(is_deferrable=is_deferrable)
+                self.assertEqual(self.find_next([surplus, other]), [other])
+
+    def test_an_urgent_kind_stays_more_urgent(self):
+        """Guards against writes that wait for the reads of a peak."""
+        surplus = self.add(is_surplus=True)
+        other = self.add(is_deferrable=True, start_in_s=0.5)
+        self.assertEqual(self.find_next([surplus, other]), [surplus])
+        self.assertTrue(self.must_yield(is_deferrable=True))
+
+    def test_a_surplus_request_waits_for_its_objective_at_most(self):
+        """Guards against requests that are starved."""
+        surplus = self.add(start_in_s=3.0, is_surplus=True)
+        self.clock.advance(waiting.YIELDING_SHARE * 4.0)
+        other = self.add()
+        self.assertEqual(self.find_next([surplus, other]), [surplus])
+
+    def test_peers_learn_of_it(self):
+        self.add_peer(start_in_s=0.5, is_surplus=True, is_deferrable=True)
+        self.assertFalse(self.must_yield(is_deferrable=True))
+        turn = self.make_turn(is_deferrable=True, is_surplus=True)
+        self.assertEqual(self.queue.count_before(SERVICE, 1, turn), 1)
+        turn = self.make_turn(is_deferrable=True)
+        self.assertEqual(self.queue.count_before(SERVICE, 1, turn), 0)
+
+
 class PeerTest(QueueCase):
     """Guards against a host without running requests that gets no slot.
 
