--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -38,6 +38,7 @@
 from .admission import expected_wait
 from .admission import fleet_waiting
 from .admission import urgency
+from .admission import usage
 from .admission import waiting as waiting_module
 from .evidence import notices as notices_module
 from .listeners import limits
@@ -94,6 +95,7 @@
         'relay',
         'reports',
         'target_limits',
+        'usage',
         'waiting',
         'watcher_selection',
     )
@@ -106,18 +108,18 @@
         self.fleet = fleet_module.Fleet(
             settings.address, settings.domain, started_ms
         )
-        self.waiting = (
-            fleet_waiting.FleetWaitingRequests(self.fleet, clock)
-            if settings.balancing.scope is settings_module.Scope.FLEET
-            else waiting_module.WaitingRequests(self.fleet)
-        )
-        self.rate_limits = rate_limits_module.RateLimits()
         is_pooled = settings.balancing.scope is settings_module.Scope.FLEET
-        self.health = health_module.HealthTracker(
-            health_module.POOLED_COSTS
-            if is_pooled
-            else health_module.SEPARATE_COSTS
-        )
+        self.usage = None
+        self.waiting = waiting_module.WaitingRequests(self.fleet)
+        costs = health_module.SEPARATE_COSTS
+        if is_pooled:
+            self.usage = usage.WorkspaceUsage()
+            self.waiting = fleet_waiting.FleetWaitingRequests(
+                self.fleet, clock
+            )
+            costs = health_module.POOLED_COSTS
+        self.rate_limits = rate_limits_module.RateLimits(self.usage)
+        self.health = health_module.HealthTracker(costs)
         self.notices = notices_module.FaultNotices(is_pooled)
         self.health_exchange = notices_module.HealthExchange(
             self.directory, settings.domain, self.health, is_pooled
--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -57,8 +57,8 @@
 # not idempotent and for targets of other domains. The penalty grows slowly in
 # the first seconds after a response, in which many failures begin; the last
 # responses of targets in other domains are older.
-UNSAFE_DOUBT_WEIGHT = 2.0
-REMOTE_DOUBT_WEIGHT = 4.0
+UNSAFE_DOUBT_WEIGHT = 0.5
+REMOTE_DOUBT_WEIGHT = 1.0
 
 # The walks over all targets of a service for unused ones are this far apart
 # for each target, so that their cost does not grow with the service. The
