Find the first waiting request once, not at each poll

Cause: each waiting request polls every 30 ms and looked through the whole queue, which cost the square of its length.

Change, with scope "fleet" only: the first requests of a service are kept for 10 ms and until the queue changes; the latter also covers a long wait that makes a request the first. Peers without waiting requests are skipped.

--- a/lavenderstile/edge/admission/fleet_waiting.py
+++ b/lavenderstile/edge/admission/fleet_waiting.py
@@ -30,6 +30,12 @@
 HANDOFF_S = 0.02
 MAX_HANDOFFS = 4
 
+# The first requests of a service are found anew after a change of its queue,
+# and after this time, since a long wait changes the order. All waiting
+# requests poll, so that finding them each time would cost the square of their
+# number.
+ORDER_LIFETIME_S = 0.01
+
 
 class FleetWaitingRequests(waiting.WaitingRequests):
     """The waiting requests of this host, with scope `FLEET`.
@@ -41,11 +47,12 @@
     deferrable requests, which cannot use the places that are left at targets.
     """
 
-    __slots__ = ('_clock',)
+    __slots__ = ('_clock', '_firsts')
 
     def __init__(self, fleet, clock):
         super().__init__(fleet)
         self._clock = clock
+        self._firsts = {}
 
     @property
     def counts(self):
@@ -110,12 +117,22 @@
             if _is_reported_before(reported, priority, turn)
         )
 
+    def add(self, service, *args, **kwargs):
+        """Add a request; return its `WaitingRequest`."""
+        self._firsts.pop(service, None)
+        return super().add(service, *args, **kwargs)
+
+    def remove(self, entry):
+        """Remove a request."""
+        self._firsts.pop(entry.service, None)
+        super().remove(entry)
+
     def is_next(self, entry, now):
         """Return whether a waiting request may look for a slot now."""
-        entries = self._waiting[entry.service]
-        if not entry.turn.is_deferrable:
-            entries = _select_urgent(entries)
-        return self._find_first(entries, now) is entry
+        first, first_urgent = self._find_firsts(entry.service, now)
+        if entry.turn.is_deferrable:
+            return entry is first
+        return entry is first_urgent
 
     def get_handoff_wait(self, entry, now):
         """Return how long to leave a free slot to peers, in seconds."""
@@ -132,16 +149,25 @@
         These are the first of all and the first that is not deferrable.
         """
         now = self._clock.now()
-        for entries in self._waiting.values():
-            first = self._find_first(entries, now)
-            first.wakeup.set()
-            if first.turn.is_deferrable:
-                urgent = _select_urgent(entries)
-                if urgent:
-                    self._find_first(urgent, now).wakeup.set()
-
-    def _find_first(self, entries, now):
-        return min(entries, key=functools.partial(self._get_key, now))
+        for service in self._waiting:
+            for entry in self._find_firsts(service, now):
+                if entry is not None:
+                    entry.wakeup.set()
+
+    def _find_firsts(self, service, now):
+        """Return the first request and the first that is not deferrable."""
+        found_at, firsts = self._firsts.get(service, (-math.inf, None))
+        if now - found_at < ORDER_LIFETIME_S:
+            return firsts
+        entries = self._waiting[service]
+        key = functools.partial(self._get_key, now)
+        first = first_urgent = min(entries, key=key)
+        if first.turn.is_deferrable:
+            urgent = [each for each in entries if not each.turn.is_deferrable]
+            first_urgent = min(urgent, key=key, default=None)
+        firsts = first, first_urgent
+        self._firsts[service] = now, firsts
+        return firsts
 
     def _get_key(self, now, entry):
         granted = self._granted.get(entry.service, {})
@@ -165,6 +191,8 @@
             turn.starts_by - turn.close_s,
         )
         for peer in self._fleet.peers.values():
+            if not peer.waiting:
+                continue
             for key in _list_keys(peer, service):
                 _, is_deferrable, _, _ = key
                 if is_deferrable and not turn.is_deferrable:
@@ -228,7 +256,3 @@
     So no kind of request is starved.
     """
     return -math.inf if now >= entry.yields_until else entry.priority
-
-
-def _select_urgent(entries):
-    return [entry for entry in entries if not entry.turn.is_deferrable]
--- a/tests/edge/admission/test_fleet_waiting.py
+++ b/tests/edge/admission/test_fleet_waiting.py
@@ -1,6 +1,7 @@
 """Tests of the order of waiting requests with scope `FLEET`."""
 
 import unittest
+from unittest import mock
 
 from lavenderstile import clocks
 from lavenderstile.edge.admission import fleet_waiting
@@ -112,6 +113,24 @@
         self.assertEqual(self.find_next([entry, other]), [entry])
 
 
+class CostTest(QueueCase):
+    """Load pattern: 400 requests that wait at one host and poll.
+
+    Guards against polls that each look through the whole queue.
+    """
+
+    def test_a_round_of_polls_costs_as_much_as_the_queue_is_long(self):
+        entries = [self.add(start_in_s=number) for number in range(400)]
+        with mock.patch.object(
+            fleet_waiting.FleetWaitingRequests,
+            '_get_key',
+            autospec=True,
+            side_effect=fleet_waiting.FleetWaitingRequests._get_key,
+        ) as get_key:
+            self.assertEqual(self.find_next(entries), entries[:1])
+        self.assertLessEqual(get_key.call_count, len(entries))
+
+
 class DeferrableTest(QueueCase):
     """Guards against urgent requests behind others that need a free slot.
 
