Check the expected wait of a request only once

After a rejection by a target, the rest of the longest wait can be shorter than the expected one, and a request that had been accepted was refused although a slot might come free.

--- a/lavenderstile/edge/handler.py
+++ b/lavenderstile/edge/handler.py
@@ -391,7 +391,8 @@
             call.wait_deadline = now + self._kind_urgency.get_longest_wait(
                 call.service, call.route, call.deadline - now
             )
-        self._refuse_without_time(call, turn, cause, now)
+            # A request that was accepted once stays so after a rejection.
+            self._refuse_without_time(call, turn, cause, now)
         with self._queue(call, turn, now) as entry:
             while (known := self._take_turn(call, entry)) is None:
                 if self._clock.now() >= call.wait_deadline:
