Keep the floor in use while many requests fail, with scope fleet

Change: while more than 7% of a service's requests are not served, the floor's share of its targets in each domain is tested 1 s after a fault, those without recent faults first.

--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -391,14 +391,20 @@
 
     def _find_unused(self, service, is_idempotent, now):
         """Return the targets of the own domain to test; see `retests`."""
-        due = [
+        own = [
             known.target.instance
             for known in self._directory.list_targets(service)
             if self._is_own(known.target)
-            and retests.is_due(
-                self._health, known.target.instance, is_idempotent, now
-            )
         ]
+        due = {
+            instance
+            for instance in own
+            if retests.is_due(self._health, instance, is_idempotent, now)
+        }
+        if self._outcomes.is_failing(service, now):
+            due.update(
+                retests.list_floor(self._health, own, self._floor_share, now)
+            )
         return self._select_unused(due, is_idempotent, now)
 
     def _try_all(self, search, instances, allows_failing=False):
