Correct the weighted draw of the trial

It drew failing targets by their empty slots, so that three quarters of the requests went to other domains.

--- a/tests/edge/even_load.py
+++ b/tests/edge/even_load.py
@@ -78,26 +78,22 @@
     def _try_proven(self, search, pool):
         if pool is not self._pools[SERVICE].own:
             return super()._try_proven(search, pool)
-        proven = [
-            self._directory.targets[instance]
-            for instance in pool.draw_proven(1000)
-        ]
-        weights = [
-            max(0.0, room.free) / room.work_s
-            for room in (
-                self.estimate_room(known.target, search.now)
-                for known in proven
-            )
+        proven = {}
+        for instance in pool.draw_proven(1000):
+            penalty_s = self._health.get_penalty(instance, False, search.now)
+            if penalty_s <= fleet_balancer.PROVEN_PENALTY_S:
+                proven[instance] = penalty_s
+        targets = [self._directory.targets[instance] for instance in proven]
+        rooms = [
+            self.estimate_room(known.target, search.now) for known in targets
         ]
+        weights = [max(0.0, room.free) / room.work_s for room in rooms]
         if not any(weights):
             return super()._try_proven(search, pool)
-        for known in self._random.choices(proven, weights, k=4):
-            penalty_s = self._health.get_penalty(
-                known.target.instance, False, search.now
-            )
-            if penalty_s <= fleet_balancer.PROVEN_PENALTY_S:
-                if self._consider(search, known, penalty_s) is not None:
-                    return True
+        for known in self._random.choices(targets, weights, k=4):
+            penalty_s = proven[known.target.instance]
+            if self._consider(search, known, penalty_s) is not None:
+                return True
         return False
 
 
@@ -188,7 +184,7 @@
         )
         return messages.pack(update)
 
-    def apply_update(self, update, now):
+    def apply_update(self, now, update):
         """Apply a peer's update as the mesh does."""
         _, sent, _ = self.fleet.apply_update(update, now)
         for service, (requests, _, failed) in sent.items():
@@ -398,10 +394,7 @@
             if peer is not host:
                 self._counts['datagrams'] += now > WARM_UP_S
                 delay_s = 0.001 + 0.002 * self._rng.random()
-                self._push(now + delay_s, self._apply_update, peer, update)
-
-    def _apply_update(self, now, peer, update):
-        peer.apply_update(update, now)
+                self._push(now + delay_s, peer.apply_update, update)
 
     def _heartbeat(self, now, host):
         host.fleet.expire(now)
