Test targets 3 s after a fault while many requests fail, with scope fleet

Change: while more than 7% of a service's requests are not served, strong evidence no longer prolongs the hold of 3 s. A target whose failure ended with its last fault counts as healthy 2 s later and must get a request within the next 2 s.

--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -391,21 +391,19 @@
 
     def _find_unused(self, service, is_idempotent, now):
         """Return the targets of the own domain to test; see `retests`."""
-        own = [
+        is_failing = self._outcomes.is_failing(service, now)
+        due = [
             known.target.instance
             for known in self._directory.list_targets(service)
             if self._is_own(known.target)
-        ]
-        due = {
-            instance
-            for instance in own
-            if retests.is_due(self._health, instance, is_idempotent, now)
-        }
-        failing_share = self._outcomes.get_failing_share(service, now)
-        if failing_share > retests.FAILING_SHARE:
-            due.update(
-                retests.list_floor(self._health, own, self._floor_share, now)
+            and retests.is_due(
+                self._health,
+                known.target.instance,
+                is_idempotent,
+                is_failing,
+                now,
             )
+        ]
         return self._select_unused(due, is_idempotent, now)
 
     def _try_all(self, search, instances, allows_failing=False):
