Limit the tests of a failing service to the floor's share, and split modules

Change: the 3 s hold for the floor's share, those without recent faults first; idempotent requests keep their lead. Reports move from mesh to evidence, the pools of a service to pools; no change of behaviour there.

--- a/lavenderstile/edge/evidence/retests.py
+++ b/lavenderstile/edge/evidence/retests.py
@@ -1,5 +1,7 @@
 """When a target that has failed gets requests again."""
 
+import math
+
 # A target gets no request just to stay in use for this time after a fault. A
 # gray failure lasts for seconds, and the floor counts the targets that have
 # been well for two seconds.
@@ -16,22 +18,37 @@
 IDEMPOTENT_LEAD_S = 0.5
 
 
-def is_due(health, instance, is_idempotent, is_service_failing, now):
-    """Return whether a target may get a request that tests it.
+def list_due(health, instances, is_idempotent, now):
+    """Return the targets that may get a request that tests them."""
+    if not is_idempotent:
+        now -= IDEMPOTENT_LEAD_S
+    return [
+        instance
+        for instance in instances
+        if health.get_fault_age(instance, now) >= FAULT_HOLD_S
+        and health.get_failure_probability(instance, now) < RETEST_PROBABILITY
+        and not health.is_path_blocked(instance, now)
+    ]
 
-    While many requests of its service fail, a healthy target must not be left
-    out for two seconds, and only the hold counts.
+
+def list_floor(health, instances, is_idempotent, floor_share, now):
+    """Return the targets to test while many requests of their service fail.
+
+    Of the floor's share of the targets, those without recent faults first,
+    none must be left out for two seconds once it is healthy. It has been
+    healthy for that time at most after the hold.
     """
-    if health.is_path_blocked(instance, now):
-        return False
-    if is_service_failing:
-        return health.get_fault_age(instance, now) >= FAULT_HOLD_S
     if not is_idempotent:
         now -= IDEMPOTENT_LEAD_S
-    return (
-        health.get_fault_age(instance, now) >= FAULT_HOLD_S
-        and health.get_failure_probability(instance, now) < RETEST_PROBABILITY
+    ages = sorted(
+        ((health.get_fault_age(name, now), name) for name in instances),
+        reverse=True,
     )
+    return [
+        name
+        for age_s, name in ages[: math.ceil(floor_share * len(ages))]
+        if age_s >= FAULT_HOLD_S and not health.is_path_blocked(name, now)
+    ]
 
 
 def is_failing(health, instance, now):
--- a/lavenderstile/edge/host.py
+++ b/lavenderstile/edge/host.py
@@ -41,6 +41,7 @@
 from .admission import usage
 from .admission import waiting as waiting_module
 from .evidence import notices as notices_module
+from .evidence import reports as reports_module
 from .listeners import limits
 from .listeners import resources
 from .room import fleet_balancer
@@ -155,7 +156,7 @@
         self.pools = target_pools.TargetPools(clock)
         self.paths = paths_module.Paths()
         self.guard = crash_guard.CrashGuard()
-        self.reports = mesh_module.Reports(self.notices)
+        self.reports = reports_module.Reports(self.notices)
         self.path_tester = path_tester.PathTester(self)
         self.relay = relay_module.RelayClient(
             clock, self.fleet, settings.peer_port
--- a/lavenderstile/edge/mesh.py
+++ b/lavenderstile/edge/mesh.py
@@ -16,7 +16,6 @@
 from . import health as health_module
 from . import messages
 from . import target_limits
-from .evidence import notices as notices_module
 
 # Minimum time between two updates to the domain.
 UPDATE_INTERVAL_S = 0.012
@@ -55,38 +54,6 @@
 WELCOME_CONTACTS = 4
 
 
-class Reports:
-    """Faults and successes for the next update to the domain."""
-
-    __slots__ = ('_faults', '_notices', '_successes', 'schedule_update')
-
-    def __init__(self, notices=None):
-        self._notices = notices or notices_module.FaultNotices(False)
-        self._faults = []
-        self._successes = {}
-        self.schedule_update = _ignore
-
-    def add_fault(self, instance, kind, is_new=False):
-        """Report that a target failed a request.
-
-        Other domains are told if it is avoided from now on (`is_new`).
-        """
-        self._faults.append(messages.Fault(instance, kind.value))
-        if is_new:
-            self._notices.add(instance, kind)
-        self.schedule_update()
-
-    def add_success(self, instance, service, latency_s, remote_load):
-        """Report a target's response, its latency and the remote load."""
-        self._successes[instance] = (service, round(latency_s, 3), remote_load)
-
-    def take(self):
-        """Return and clear the faults and the successes."""
-        reports = self._faults, self._successes
-        self._faults, self._successes = [], {}
-        return reports
-
-
 def _find_changed(counts, reported):
     return {
         name: count
--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -85,50 +85,6 @@
     NO_TARGET = 'no_target'
 
 
-class _ServicePools:
-    """Targets of one service in the own domain and in the others."""
-
-    __slots__ = (
-        '_places',
-        'checked_at',
-        'full_queue_per_slot',
-        'full_until',
-        'full_wait_s',
-        'looks_left',
-        'others',
-        'own',
-        'source',
-    )
-
-    def __init__(self, rng):
-        self.own = pools.Pool(rng)
-        self.others = pools.Pool(rng)
-        self.source = None
-        self.checked_at = 0.0
-        self.full_until = 0.0
-        self.full_wait_s = math.inf
-        # The walk was of a request that took places in queues up to this.
-        self.full_queue_per_slot = 0.0
-        self.looks_left = 0
-        self._places = None
-
-    def update(self, targets, domain):
-        """Use the current targets of the directory."""
-        self.source = targets
-        places = [
-            (known.target.instance, known.target.domain) for known in targets
-        ]
-        # Most changes of the directory are heartbeats of the same targets.
-        if places == self._places:
-            return
-        self._places = places
-        self.full_until = 0.0
-        self.own.replace([name for name, place in places if place == domain])
-        self.others.replace(
-            [name for name, place in places if place != domain]
-        )
-
-
 class _Search:
     """The best target so far for one request."""
 
@@ -391,19 +347,16 @@
 
     def _find_unused(self, service, is_idempotent, now):
         """Return the targets of the own domain to test; see `retests`."""
-        is_failing = self._outcomes.is_failing(service, now)
-        due = [
+        own = [
             known.target.instance
             for known in self._directory.list_targets(service)
             if self._is_own(known.target)
-            and retests.is_due(
-                self._health,
-                known.target.instance,
-                is_idempotent,
-                is_failing,
-                now,
-            )
         ]
+        due = retests.list_due(self._health, own, is_idempotent, now)
+        if self._outcomes.is_failing(service, now):
+            due += retests.list_floor(
+                self._health, own, is_idempotent, self._floor_share, now
+            )
         return self._select_unused(due, is_idempotent, now)
 
     def _try_all(self, search, instances, allows_failing=False):
@@ -483,7 +436,7 @@
     def _get_pools(self, service):
         found = self._pools.get(service)
         if found is None:
-            found = self._pools[service] = _ServicePools(self._random)
+            found = self._pools[service] = pools.ServicePools(self._random)
         targets = self._directory.list_targets(service)
         if targets is not found.source:
             found.update(targets, self._fleet.domain)
--- a/lavenderstile/edge/room/pools.py
+++ b/lavenderstile/edge/room/pools.py
@@ -1,5 +1,7 @@
 """Targets of one service and place, from which a host draws at random."""
 
+import math
+
 
 class Pool:
     """Instances with the subset of those that were proven healthy lately.
@@ -86,3 +88,47 @@
         return self._random.sample(
             self._members, min(count, len(self._members))
         )
+
+
+class ServicePools:
+    """Targets of one service in the own domain and in the others."""
+
+    __slots__ = (
+        '_places',
+        'checked_at',
+        'full_queue_per_slot',
+        'full_until',
+        'full_wait_s',
+        'looks_left',
+        'others',
+        'own',
+        'source',
+    )
+
+    def __init__(self, rng):
+        self.own = Pool(rng)
+        self.others = Pool(rng)
+        self.source = None
+        self.checked_at = 0.0
+        self.full_until = 0.0
+        self.full_wait_s = math.inf
+        # The walk was of a request that took places in queues up to this.
+        self.full_queue_per_slot = 0.0
+        self.looks_left = 0
+        self._places = None
+
+    def update(self, targets, domain):
+        """Use the current targets of the directory."""
+        self.source = targets
+        places = [
+            (known.target.instance, known.target.domain) for known in targets
+        ]
+        # Most changes of the directory are heartbeats of the same targets.
+        if places == self._places:
+            return
+        self._places = places
+        self.full_until = 0.0
+        self.own.replace([name for name, place in places if place == domain])
+        self.others.replace(
+            [name for name, place in places if place != domain]
+        )
