--- a/lavenderstile/edge/evidence/retests.py
+++ b/lavenderstile/edge/evidence/retests.py
@@ -13,6 +13,15 @@
 # floor holds at any moment, also just before many requests fail at once.
 RETEST_PROBABILITY = 0.6
 
+# The hold while many requests of a service fail: a target whose failure ended
+# with its last fault counts as healthy two seconds later.
+FAILING_HOLD_S = 2.0
+
+# Share of requests that are not served above which this holds. The floor
+# counts from a tenth on, and hosts do not see all failures. A lower share can
+# be kept up by the failures of the tests themselves.
+FAILING_SHARE = 0.08
+
 # Idempotent requests test a target this much earlier than others, because
 # they can be sent again.
 IDEMPOTENT_LEAD_S = 0.5
@@ -35,8 +44,7 @@
     """Return the targets to test while many requests of their service fail.
 
     Of the floor's share of the targets, those without recent faults first,
-    none must be left out for two seconds once it is healthy. It has been
-    healthy for that time at most after the hold.
+    none must be left out for two seconds once it counts as healthy.
     """
     if not is_idempotent:
         now -= IDEMPOTENT_LEAD_S
@@ -47,7 +55,7 @@
     return [
         name
         for age_s, name in ages[: math.ceil(floor_share * len(ages))]
-        if age_s >= FAULT_HOLD_S and not health.is_path_blocked(name, now)
+        if age_s >= FAILING_HOLD_S and not health.is_path_blocked(name, now)
     ]
 
 
--- a/lavenderstile/edge/room/fleet_balancer.py
+++ b/lavenderstile/edge/room/fleet_balancer.py
@@ -353,7 +353,8 @@
             if self._is_own(known.target)
         ]
         due = retests.list_due(self._health, own, is_idempotent, now)
-        if self._outcomes.is_failing(service, now):
+        failing_share = self._outcomes.get_failing_share(service, now)
+        if failing_share > retests.FAILING_SHARE:
             due += retests.list_floor(
                 self._health, own, is_idempotent, self._floor_share, now
             )
