--- a/lavenderstile/edge/evidence/retests.py
+++ b/lavenderstile/edge/evidence/retests.py
@@ -18,9 +18,9 @@
 FAILING_HOLD_S = 2.0
 
 # Share of requests that are not served above which this holds. The floor
-# counts from a tenth on, and hosts do not see all failures. A lower share can
-# be kept up by the failures of the tests themselves.
-FAILING_SHARE = 0.08
+# counts from a tenth on in two seconds, of which hosts know a part by then. A
+# lower share can be kept up by the failures of the tests themselves.
+FAILING_SHARE = 0.05
 
 # Idempotent requests test a target this much earlier than others, because
 # they can be sent again.
