--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -88,3 +88,20 @@
     if message is None:
         return Answer('', 0, 'closed without a response')
     return Answer('', message.status, message.body[:200].decode('latin-1'))
+
+
+async def read_status_line(address, data, limit_s=1.0):
+    """Send bytes on a new connection; return the first line of the answer."""
+    try:
+        async with asyncio.timeout(limit_s):
+            reader, writer = await asyncio.open_connection(
+                address, hosts.CALLER_PORT
+            )
+            try:
+                writer.write(data)
+                line = await reader.readline()
+            finally:
+                writer.close()
+    except (OSError, TimeoutError) as error:
+        return type(error).__name__
+    return line.decode('latin-1').strip() or 'closed without a response'
